--- /dev/null
+++ b/include/yuccamast/admission/admission.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "yuccamast/clock.h"
+#include "yuccamast/config/configuration.h"
+#include "yuccamast/outcome/refusal.h"
+
+/// \file admission.h
+/// Decides at the exit which calls run at the upstream beside it, and when.
+///
+/// The exit is the only way to its upstream, so its counts are exact. A call
+/// either starts, waits in a short queue, or is refused at once with proof
+/// that it was not run. The queue serves non-idempotent calls before others
+/// and the nearest deadline first; every fourth start goes to the oldest
+/// waiting call, so nothing starves. Some slots are kept from long calls.
+///
+/// The class holds no timers and does no I/O; the owner calls `Expire`.
+
+namespace yuccamast {
+
+using CallTicket = std::uint64_t;
+
+/// Limits in force at an exit; changed by a new configuration.
+struct AdmissionLimits {
+  std::uint32_t slots = 10;
+  std::uint32_t short_slots = 3;
+  std::uint32_t queue_length = 20;
+  Duration queue_limit = std::chrono::milliseconds(100);
+};
+
+/// What the exit knows of an offered call.
+struct AdmissionRequest {
+  CallTicket ticket = 0;  ///< Unique among the calls the exit holds.
+  TimePoint deadline;
+  WeightClass weight = WeightClass::kShort;
+  bool idempotent = false;
+};
+
+enum class AdmissionVerdict : std::uint8_t { kStart, kQueued, kRefused };
+
+struct AdmissionDecision {
+  AdmissionVerdict verdict = AdmissionVerdict::kRefused;
+  RefusalReason reason = RefusalReason::kQueueFull;  ///< If refused.
+};
+
+/// A queued call that is given up.
+struct ExpiredCall {
+  CallTicket ticket = 0;
+  RefusalReason reason = RefusalReason::kQueueTimeout;
+};
+
+/// Slots and queue of one upstream. Not thread-safe.
+class Admission {
+ public:
+  explicit Admission(AdmissionLimits limits) : m_limits(limits) {}
+
+  /// Takes, queues or refuses a call. Precondition: the ticket is new.
+  AdmissionDecision Offer(const AdmissionRequest& request, TimePoint now);
+
+  /// A call that held a slot is done. `service` is the time it held it, or
+  /// nothing if it says nothing about the upstream.
+  void Release(CallTicket ticket, std::optional<Duration> service);
+
+  /// Takes a queued call out. False if it is not queued any more.
+  bool Remove(CallTicket ticket);
+
+  /// The next queued call that may start now; it then holds a slot.
+  std::optional<CallTicket> StartNext(TimePoint now);
+
+  /// Takes out every queued call whose deadline or queue limit has passed.
+  std::vector<ExpiredCall> Expire(TimePoint now);
+
+  /// Takes out every queued call, for a stop or after a pause.
+  std::vector<CallTicket> TakeQueue();
+
+  void SetLimits(const AdmissionLimits& limits) { m_limits = limits; }
+  const AdmissionLimits& limits() const { return m_limits; }
+
+  std::uint32_t running() const {
+    return static_cast<std::uint32_t>(m_running.size());
+  }
+  std::uint32_t running_long() const { return m_running_long; }
+  std::uint32_t queued() const {
+    return static_cast<std::uint32_t>(m_queue.size());
+  }
+
+  /// Moving average of the service time of short calls; zero if unknown.
+  Duration short_service() const { return m_short_service; }
+
+  /// Age of the short call that has run longest; zero if none runs.
+  Duration OldestShort(TimePoint now) const;
+
+ private:
+  struct Waiting {
+    AdmissionRequest request;
+    TimePoint since;
+  };
+  struct Running {
+    WeightClass weight = WeightClass::kShort;
+    TimePoint since;
+  };
+  /// Non-idempotent before idempotent, then the nearest deadline.
+  struct QueueKey {
+    bool idempotent = false;
+    TimePoint deadline;
+    CallTicket ticket = 0;
+    auto operator<=>(const QueueKey&) const = default;
+  };
+  using Queue = std::map<QueueKey, Waiting>;
+
+  bool HasSlot(WeightClass weight) const;
+  void Occupy(const AdmissionRequest& request, TimePoint now);
+  bool CanMeetDeadline(const AdmissionRequest& request, TimePoint now) const;
+  Queue::iterator PickNext();
+
+  AdmissionLimits m_limits;
+  Queue m_queue;
+  std::unordered_map<CallTicket, QueueKey> m_keys;
+  std::unordered_map<CallTicket, Running> m_running;
+  std::uint32_t m_running_long = 0;
+  std::uint32_t m_starts = 0;
+  Duration m_short_service{};
+};
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/balance/policy.cpp
@@ -0,0 +1,167 @@
+#include "yuccamast/balance/policy.h"
+
+#include <algorithm>
+#include <array>
+
+namespace yuccamast {
+
+namespace {
+
+/// Attempts at drawing a usable candidate before all are looked at in turn.
+constexpr int kDrawsPerSample = 4;
+
+/// A failing upstream is given one call in this many as if it were healthy, so
+/// that its recovery is noticed by a trickle.
+constexpr std::uint64_t kTrickle = 64;
+
+class Chooser {
+ public:
+  Chooser(std::span<const Candidate> candidates,
+          std::span<const std::size_t> excluded,
+          const ChoiceContext& context,
+          const RandomHook& random)
+      : m_candidates(candidates),
+        m_excluded(excluded),
+        m_context(context),
+        m_random(random) {}
+
+  std::optional<std::size_t> RoundRobin() const {
+    return FirstUsableFrom(m_context.turn % m_candidates.size());
+  }
+
+  std::optional<std::size_t> Random() const { return Draw(); }
+
+  /// The lowest `cost` among `samples` distinct random candidates.
+  template <typename Cost>
+  std::optional<std::size_t> BestOf(std::size_t samples, Cost cost) const {
+    std::optional<std::size_t> best;
+    auto best_cost = cost(std::size_t{0});
+    std::array<std::size_t, kSampleSize> drawn{};
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < samples; ++i) {
+      const auto index = Draw(std::span(drawn.data(), count));
+      if (!index) {
+        break;
+      }
+      drawn.at(count++) = *index;
+      const auto value = cost(*index);
+      if (!best || value < best_cost) {
+        best = index;
+        best_cost = value;
+      }
+    }
+    return best;
+  }
+
+  /// The lowest `cost` of all candidates, ties broken by a random start.
+  template <typename Cost>
+  std::optional<std::size_t> BestOfAll(Cost cost) const {
+    std::optional<std::size_t> best;
+    auto best_cost = cost(std::size_t{0});
+    const std::size_t start = m_random() % m_candidates.size();
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+      const std::size_t index = (start + i) % m_candidates.size();
+      if (!IsUsable(index)) {
+        continue;
+      }
+      const auto value = cost(index);
+      if (!best || value < best_cost) {
+        best = index;
+        best_cost = value;
+      }
+    }
+    return best;
+  }
+
+  Duration Cost(std::size_t index) const {
+    const Candidate& candidate = m_candidates[index];
+    EstimateOptions options = m_context.options;
+    if (m_random() % kTrickle == 0) {
+      options.failure_penalty = Duration::zero();
+    }
+    return candidate.distance +
+           candidate.state->EstimateCost(m_context.now, m_context.prior_others,
+                                         options);
+  }
+
+ private:
+  bool IsUsable(std::size_t index) const {
+    return !m_candidates[index].state->leaving() &&
+           std::ranges::find(m_excluded, index) == m_excluded.end();
+  }
+
+  std::optional<std::size_t> FirstUsableFrom(std::size_t start) const {
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+      const std::size_t index = (start + i) % m_candidates.size();
+      if (IsUsable(index)) {
+        return index;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// A random usable candidate that is not in `drawn`.
+  std::optional<std::size_t> Draw(
+      std::span<const std::size_t> drawn = {}) const {
+    for (int i = 0; i < kDrawsPerSample; ++i) {
+      const std::size_t index = m_random() % m_candidates.size();
+      if (IsUsable(index) && std::ranges::find(drawn, index) == drawn.end()) {
+        return index;
+      }
+    }
+    if (!drawn.empty()) {
+      return std::nullopt;
+    }
+    return FirstUsableFrom(m_random() % m_candidates.size());
+  }
+
+  std::span<const Candidate> m_candidates;
+  std::span<const std::size_t> m_excluded;
+  const ChoiceContext& m_context;
+  const RandomHook& m_random;
+};
+
+}  // namespace
+
+std::optional<std::size_t> Choose(PolicyKind kind,
+                                  std::span<const Candidate> candidates,
+                                  std::span<const std::size_t> excluded,
+                                  const ChoiceContext& context,
+                                  const RandomHook& random) {
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const Chooser chooser(candidates, excluded, context, random);
+  switch (kind) {
+    case PolicyKind::kRandom:
+      return chooser.Random();
+    case PolicyKind::kRoundRobin:
+      return chooser.RoundRobin();
+    case PolicyKind::kLeastOutstanding:
+      return chooser.BestOfAll([&](std::size_t index) {
+        return candidates[index].state->own_in_flight();
+      });
+    case PolicyKind::kRandomTwo:
+      return chooser.BestOf(2, [&](std::size_t index) {
+        return candidates[index].state->reported_total();
+      });
+    case PolicyKind::kLeastCost:
+      break;
+  }
+  return chooser.BestOf(kSampleSize,
+                        [&](std::size_t index) { return chooser.Cost(index); });
+}
+
+double SamplePrior(std::span<const Candidate> candidates,
+                   const RandomHook& random) {
+  if (candidates.empty()) {
+    return 0;
+  }
+  double sum = 0;
+  for (std::size_t i = 0; i < kSampleSize; ++i) {
+    sum += candidates[random() % candidates.size()].state->ReportedOthers();
+  }
+  return sum / kSampleSize;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -0,0 +1,144 @@
+#include "yuccamast/balance/upstream_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccamast {
+
+namespace {
+
+std::int64_t Ticks(TimePoint time) {
+  return time.time_since_epoch().count();
+}
+
+TimePoint FromTicks(std::int64_t ticks) {
+  return TimePoint(Duration(ticks));
+}
+
+double Ratio(Duration a, Duration b) {
+  return static_cast<double>(a.count()) / static_cast<double>(b.count());
+}
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+/// Age as a multiple of the service time at which a run counts as stalled.
+constexpr double kStallFactor = 3.0;
+
+/// Waiting time is bounded so that one estimate cannot overflow the sum.
+constexpr Duration kMaxCost = std::chrono::seconds(60);
+
+}  // namespace
+
+void UpstreamState::OnSent(TimePoint now) {
+  if (m_own.fetch_add(1, kRelaxed) == 0) {
+    m_progress_at.store(Ticks(now), kRelaxed);
+  }
+}
+
+void UpstreamState::OnEnd(AttemptEnd end,
+                          Duration /*took*/,
+                          TimePoint now,
+                          const EstimateOptions& options) {
+  m_own.fetch_sub(1, kRelaxed);
+  if (end == AttemptEnd::kAbandoned) {
+    return;
+  }
+  m_progress_at.store(Ticks(now), kRelaxed);
+  if (end == AttemptEnd::kFailed) {
+    m_failures.store(std::min(Failures(now, options) + 1.0, 10.0), kRelaxed);
+    m_failed_at.store(Ticks(now), kRelaxed);
+  }
+}
+
+void UpstreamState::OnReport(const LoadReport& report, TimePoint now) {
+  m_own_at_report.store(m_own.load(kRelaxed), kRelaxed);
+  m_reported.store(report.running + report.queued, kRelaxed);
+  m_limit.store(report.limit, kRelaxed);
+  m_service_us.store(report.service_us, kRelaxed);
+  m_oldest_short_us.store(report.oldest_short_us, kRelaxed);
+  m_reported_at.store(Ticks(now), kRelaxed);
+  if (report.leaving) {
+    m_leaving.store(true, kRelaxed);
+  }
+}
+
+double UpstreamState::ReportedOthers() const {
+  const double total = m_reported.load(kRelaxed);
+  const double own = m_own_at_report.load(kRelaxed);
+  return std::max(0.0, total - own);
+}
+
+double UpstreamState::Failures(TimePoint now,
+                               const EstimateOptions& options) const {
+  const double failures = m_failures.load(kRelaxed);
+  if (failures == 0.0) {
+    return 0.0;
+  }
+  const Duration age = now - FromTicks(m_failed_at.load(kRelaxed));
+  return failures * std::exp2(-Ratio(age, options.failure_half_life));
+}
+
+Duration UpstreamState::ReportAge(TimePoint now) const {
+  const std::int64_t at = m_reported_at.load(kRelaxed);
+  return at == 0 ? Duration::max() : now - FromTicks(at);
+}
+
+Duration UpstreamState::ServiceTime(TimePoint now,
+                                    const EstimateOptions& options) const {
+  const std::uint32_t known_us = m_service_us.load(kRelaxed);
+  const Duration usual = known_us == 0
+                             ? options.default_service
+                             : Duration(std::chrono::microseconds(known_us));
+  Duration stall = std::chrono::microseconds(m_oldest_short_us.load(kRelaxed));
+  if (ReportAge(now) > 4 * options.report_half_life) {
+    stall = Duration::zero();
+  }
+  if (m_own.load(kRelaxed) > 0) {
+    stall = std::max(stall, now - FromTicks(m_progress_at.load(kRelaxed)));
+  }
+  const bool stalled = stall > Scale(usual, kStallFactor);
+  return stalled ? stall : usual;
+}
+
+double UpstreamState::InFlight(TimePoint now,
+                               double prior_others,
+                               const EstimateOptions& options) const {
+  const double own = m_own.load(kRelaxed);
+  if (m_reported_at.load(kRelaxed) == 0) {
+    return own + prior_others;
+  }
+  const double weight =
+      1.0 / (1.0 + Ratio(ReportAge(now), options.report_half_life));
+  return own + weight * ReportedOthers() + (1.0 - weight) * prior_others;
+}
+
+double UpstreamState::ColdFactor(TimePoint now,
+                                 const EstimateOptions& options) const {
+  if (!m_cold) {
+    return 1.0;
+  }
+  const double warmth = Ratio(now - m_first_seen, options.cold_start);
+  return 1.0 / std::clamp(warmth, 0.1, 1.0);
+}
+
+Duration UpstreamState::EstimateCost(TimePoint now,
+                                     double prior_others,
+                                     const EstimateOptions& options) const {
+  const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
+  const double known_limit = m_limit.load(kRelaxed) == 0 ? 10.0 : limit;
+  const double in_flight = InFlight(now, prior_others, options);
+  // Below the limit a call runs at once, but neighbours already slow it a
+  // little; above it, it waits for whole service times.
+  const double use = (in_flight + 1.0) / known_limit;
+  const double wait = 0.5 * use + 2.0 * std::max(0.0, use - 1.0);
+  const Duration service = ServiceTime(now, options);
+  const Duration cost =
+      Scale(service, (1.0 + wait) * ColdFactor(now, options)) +
+      Scale(options.failure_penalty, Failures(now, options));
+  return std::min(cost, kMaxCost);
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/config/describe.cpp
@@ -0,0 +1,50 @@
+#include "config/describe.h"
+
+namespace yuccamast {
+
+namespace {
+
+JsonValue Describe(const Service& service) {
+  return JsonValue::Object{
+      {"policy", NameOf(service.policy)},
+      {"queue_limit_ms", std::int64_t{service.queue_limit.count()}},
+      {"queue_length", service.queue_length},
+      {"retry_share", service.retry_share}};
+}
+
+JsonValue Describe(const Upstream& upstream) {
+  return JsonValue::Object{{"service", upstream.service},
+                           {"vm", upstream.vm},
+                           {"slots", upstream.slots},
+                           {"short_slots", upstream.short_slots}};
+}
+
+JsonValue Describe(const Rule& rule) {
+  return JsonValue::Object{{"service", rule.service},
+                           {"method", rule.method},
+                           {"path", rule.path},
+                           {"idempotent", rule.idempotent},
+                           {"deadline_ms", std::int64_t{rule.deadline.count()}},
+                           {"weight", NameOf(rule.weight)},
+                           {"priority", rule.priority}};
+}
+
+template <typename Section>
+JsonValue DescribeAll(const Section& section) {
+  JsonValue::Object entries;
+  for (const auto& [name, entry] : section) {
+    entries.push_back({name, Describe(entry)});
+  }
+  return entries;
+}
+
+}  // namespace
+
+JsonValue Describe(const Configuration& configuration) {
+  return JsonValue::Object{{"digest", configuration.digest},
+                           {"services", DescribeAll(configuration.services)},
+                           {"upstreams", DescribeAll(configuration.upstreams)},
+                           {"rules", DescribeAll(configuration.rules)}};
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/config/merge.cpp
@@ -0,0 +1,292 @@
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "config/rule_table.h"
+#include "json/object_reader.h"
+#include "yuccamast/config/configuration.h"
+#include "yuccamast/json_value.h"
+
+namespace yuccamast {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> kSections = {"services", "upstreams",
+                                                       "rules"};
+
+/// An entry while files are merged: the fields so far, and who set each.
+struct DraftEntry {
+  JsonValue::Object fields;
+  std::map<std::string, std::string, std::less<>> file_of_field;
+  std::string file;  ///< The last file that touched the entry.
+};
+
+using DraftSection = std::map<std::string, DraftEntry, std::less<>>;
+
+struct Draft {
+  std::map<std::string, DraftSection, std::less<>> sections;
+  ConfigErrors errors;
+};
+
+void Report(Draft& draft,
+            std::string file,
+            std::string key,
+            ConfigFault fault,
+            std::string detail = "") {
+  draft.errors.push_back(
+      {std::move(file), std::move(key), fault, std::move(detail)});
+}
+
+void MergeField(DraftEntry& entry,
+                const JsonMember& field,
+                const std::string& file) {
+  std::erase_if(entry.fields,
+                [&](const JsonMember& old) { return old.key == field.key; });
+  entry.file_of_field[field.key] = file;
+  if (!field.value.IsNull()) {
+    entry.fields.push_back(field);
+  }
+}
+
+void MergeEntry(Draft& draft,
+                const std::string& section,
+                const JsonMember& entry,
+                const std::string& file) {
+  DraftSection& entries = draft.sections[section];
+  const std::string key = section + "." + entry.key;
+  if (entry.value.IsNull()) {
+    if (entries.erase(entry.key) == 0) {
+      Report(draft, file, key, ConfigFault::kRemovesNothing);
+    }
+    return;
+  }
+  const JsonValue::Object* fields = entry.value.AsObject();
+  if (fields == nullptr) {
+    Report(draft, file, key, ConfigFault::kWrongType, "expected an object");
+    return;
+  }
+  DraftEntry& merged = entries[entry.key];
+  merged.file = file;
+  std::ranges::for_each(*fields, [&](const JsonMember& field) {
+    MergeField(merged, field, file);
+  });
+}
+
+void MergeFile(Draft& draft, const ConfigFile& file) {
+  auto parsed = ParseJson(file.text);
+  if (!parsed) {
+    Report(draft, file.name, "", ConfigFault::kBadJson,
+           std::string(NameOf(parsed.error().fault)) + ": " +
+               parsed.error().detail);
+    return;
+  }
+  const JsonValue::Object* sections = parsed.value().AsObject();
+  if (sections == nullptr) {
+    Report(draft, file.name, "", ConfigFault::kWrongType, "expected an object");
+    return;
+  }
+  for (const JsonMember& section : *sections) {
+    if (std::ranges::find(kSections, section.key) == kSections.end()) {
+      Report(draft, file.name, section.key, ConfigFault::kUnknownKey);
+      continue;
+    }
+    const JsonValue::Object* entries = section.value.AsObject();
+    if (entries == nullptr) {
+      Report(draft, file.name, section.key, ConfigFault::kWrongType);
+      continue;
+    }
+    std::ranges::for_each(*entries, [&](const JsonMember& entry) {
+      MergeEntry(draft, section.key, entry, file.name);
+    });
+  }
+}
+
+ConfigFault FaultOf(FieldFault fault) {
+  switch (fault) {
+    case FieldFault::kMissing:
+      return ConfigFault::kMissing;
+    case FieldFault::kOutOfRange:
+      return ConfigFault::kOutOfRange;
+    case FieldFault::kUnknownKey:
+      return ConfigFault::kUnknownKey;
+    case FieldFault::kUnknownName:
+      return ConfigFault::kUnknownName;
+    default:
+      return ConfigFault::kWrongType;
+  }
+}
+
+/// Reads one entry with `read`, and turns field errors into errors that name
+/// the file which set the field.
+template <typename Read>
+void ReadEntry(Draft& draft,
+               const std::string& section,
+               const std::string& name,
+               const DraftEntry& entry,
+               Read read) {
+  const JsonValue value{entry.fields};
+  std::vector<FieldError> errors;
+  ObjectReader reader(value, "", &errors);
+  read(reader);
+  reader.Finish();
+  std::ranges::for_each(errors, [&](const FieldError& error) {
+    const auto origin = entry.file_of_field.find(error.key);
+    const std::string file =
+        origin == entry.file_of_field.end() ? entry.file : origin->second;
+    Report(draft, file, section + "." + name + "." + error.key,
+           FaultOf(error.fault));
+  });
+}
+
+constexpr IntRange kDeadlineRangeMs{1, 600'000};
+constexpr IntRange kQueueRangeMs{0, 60'000};
+constexpr IntRange kQueueLengthRange{0, 10'000};
+constexpr IntRange kSlotRange{1, 10'000};
+constexpr IntRange kShortSlotRange{0, 9'999};
+constexpr IntRange kPriorityRange{-1000, 1000};
+
+Service ReadService(const std::string& name, ObjectReader& reader) {
+  Service service;
+  service.name = name;
+  service.policy =
+      reader.Name<PolicyKind>("policy", PolicyFromName, service.policy);
+  service.queue_limit = reader.Millis("queue_limit_ms", kQueueRangeMs,
+                                      service.queue_limit.count());
+  service.queue_length = static_cast<std::uint32_t>(
+      reader.Int("queue_length", kQueueLengthRange, service.queue_length));
+  service.retry_share =
+      reader.Double("retry_share", 0.0, 1.0, service.retry_share);
+  return service;
+}
+
+Upstream ReadUpstream(const std::string& name, ObjectReader& reader) {
+  Upstream upstream;
+  upstream.name = name;
+  upstream.service = reader.String("service", std::nullopt);
+  upstream.vm = reader.String("vm", std::nullopt);
+  upstream.slots = static_cast<std::uint32_t>(
+      reader.Int("slots", kSlotRange, upstream.slots));
+  const std::int64_t kept =
+      std::min<std::int64_t>(upstream.short_slots, upstream.slots - 1);
+  upstream.short_slots = static_cast<std::uint32_t>(
+      reader.Int("short_slots", kShortSlotRange, kept));
+  if (upstream.short_slots >= upstream.slots) {
+    reader.Report("short_slots", FieldFault::kOutOfRange);
+  }
+  return upstream;
+}
+
+Rule ReadRule(const std::string& name, ObjectReader& reader) {
+  Rule rule;
+  rule.name = name;
+  rule.service = reader.String("service", std::nullopt);
+  rule.method = reader.String("method", "*");
+  rule.path = reader.String("path", std::nullopt);
+  rule.idempotent = reader.Bool("idempotent", false);
+  rule.deadline =
+      reader.Millis("deadline_ms", kDeadlineRangeMs, rule.deadline.count());
+  rule.weight = reader.Name<WeightClass>("weight", WeightFromName, rule.weight);
+  rule.priority = reader.Int("priority", kPriorityRange, rule.priority);
+  return rule;
+}
+
+void ReadSections(Draft& draft, Configuration& result) {
+  for (const auto& [name, entry] : draft.sections["services"]) {
+    ReadEntry(draft, "services", name, entry, [&](ObjectReader& reader) {
+      result.services[name] = ReadService(name, reader);
+    });
+  }
+  for (const auto& [name, entry] : draft.sections["upstreams"]) {
+    ReadEntry(draft, "upstreams", name, entry, [&](ObjectReader& reader) {
+      result.upstreams[name] = ReadUpstream(name, reader);
+    });
+  }
+  for (const auto& [name, entry] : draft.sections["rules"]) {
+    ReadEntry(draft, "rules", name, entry, [&](ObjectReader& reader) {
+      result.rules[name] = ReadRule(name, reader);
+    });
+  }
+}
+
+void CheckServiceName(Draft& draft,
+                      const Configuration& result,
+                      const std::string& section,
+                      const std::string& name,
+                      const std::string& service) {
+  if (service.empty() || result.services.contains(service)) {
+    return;
+  }
+  Report(draft, draft.sections[section][name].file,
+         section + "." + name + ".service", ConfigFault::kDanglingService,
+         service);
+}
+
+void CheckUpstreams(Draft& draft, const Configuration& result) {
+  std::set<std::string> vms;
+  for (const auto& [name, upstream] : result.upstreams) {
+    CheckServiceName(draft, result, "upstreams", name, upstream.service);
+    if (!vms.insert(upstream.vm).second) {
+      Report(draft, draft.sections["upstreams"][name].file,
+             "upstreams." + name + ".vm", ConfigFault::kDuplicateVm,
+             upstream.vm);
+    }
+  }
+}
+
+bool IsMethod(std::string_view method) {
+  return method == "*" ||
+         (!method.empty() && std::ranges::all_of(method, [](char c) {
+           return c >= 'A' && c <= 'Z';
+         }));
+}
+
+void CheckRules(Draft& draft, const Configuration& result) {
+  bool all_parse = true;
+  for (const auto& [name, rule] : result.rules) {
+    const std::string& file = draft.sections["rules"][name].file;
+    CheckServiceName(draft, result, "rules", name, rule.service);
+    if (!ParsePattern(rule.path)) {
+      all_parse = false;
+      Report(draft, file, "rules." + name + ".path", ConfigFault::kBadPath,
+             rule.path);
+    }
+    if (!IsMethod(rule.method)) {
+      Report(draft, file, "rules." + name + ".method",
+             ConfigFault::kUnknownName, rule.method);
+    }
+  }
+  if (!all_parse) {
+    return;
+  }
+  std::ranges::for_each(FindOverlaps(result.rules), [&](const auto& pair) {
+    Report(draft, draft.sections["rules"][pair.second].file,
+           "rules." + pair.second, ConfigFault::kOverlap, pair.first);
+  });
+}
+
+}  // namespace
+
+Result<Configuration, ConfigErrors> MergeConfiguration(
+    std::vector<ConfigFile> files,
+    std::uint64_t revision) {
+  std::ranges::sort(files, {}, &ConfigFile::name);
+  Draft draft;
+  std::ranges::for_each(
+      files, [&](const ConfigFile& file) { MergeFile(draft, file); });
+  Configuration result;
+  result.revision = revision;
+  result.digest = DigestOf(files);
+  ReadSections(draft, result);
+  if (draft.errors.empty() && result.services.empty()) {
+    Report(draft, "", "services", ConfigFault::kEmpty);
+  }
+  CheckUpstreams(draft, result);
+  CheckRules(draft, result);
+  if (!draft.errors.empty()) {
+    return draft.errors;
+  }
+  result.table = std::make_shared<const RuleTable>(result.rules);
+  return result;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/config/rule_table.cpp
@@ -0,0 +1,166 @@
+#include "config/rule_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace yuccamast {
+
+namespace {
+
+std::vector<std::string_view> Split(std::string_view path) {
+  std::vector<std::string_view> parts;
+  std::size_t begin = 1;
+  while (begin <= path.size()) {
+    const std::size_t end = std::min(path.find('/', begin), path.size());
+    parts.push_back(path.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return parts;
+}
+
+bool IsWildcard(std::string_view segment) {
+  return segment == "*";
+}
+
+/// Order in which rules are tried: priority, number of literal segments,
+/// number of segments, a closed before an open end, a method before any.
+struct Rank {
+  std::int64_t priority = 0;
+  std::int64_t literals = 0;
+  std::int64_t segments = 0;
+  bool closed = false;
+  bool method = false;
+
+  auto operator<=>(const Rank&) const = default;
+};
+
+Rank RankOf(const Rule& rule, const PathPattern& pattern) {
+  Rank rank;
+  rank.priority = rule.priority;
+  rank.literals = std::ranges::count_if(
+      pattern.segments, [](const auto& s) { return !IsWildcard(s); });
+  rank.segments = static_cast<std::int64_t>(pattern.segments.size());
+  rank.closed = !pattern.open_end;
+  rank.method = rule.method != "*";
+  return rank;
+}
+
+bool Matches(const PathPattern& pattern,
+             const std::vector<std::string_view>& segments) {
+  const std::size_t count = pattern.segments.size();
+  if (segments.size() < count ||
+      (segments.size() > count && !pattern.open_end)) {
+    return false;
+  }
+  return std::equal(pattern.segments.begin(), pattern.segments.end(),
+                    segments.begin(), [](const auto& want, const auto& have) {
+                      return IsWildcard(want) || want == have;
+                    });
+}
+
+bool CanShareRequest(const Rule& a,
+                     const PathPattern& pa,
+                     const Rule& b,
+                     const PathPattern& pb) {
+  const bool methods =
+      a.method == "*" || b.method == "*" || a.method == b.method;
+  const std::size_t common = std::min(pa.segments.size(), pb.segments.size());
+  const bool lengths =
+      pa.segments.size() == pb.segments.size() ||
+      (pa.segments.size() < pb.segments.size() ? pa.open_end : pb.open_end);
+  if (!methods || !lengths) {
+    return false;
+  }
+  return std::equal(pa.segments.begin(),
+                    pa.segments.begin() + static_cast<long>(common),
+                    pb.segments.begin(), [](const auto& x, const auto& y) {
+                      return IsWildcard(x) || IsWildcard(y) || x == y;
+                    });
+}
+
+}  // namespace
+
+std::optional<PathPattern> ParsePattern(std::string_view text) {
+  if (text.empty() || text.front() != '/') {
+    return std::nullopt;
+  }
+  PathPattern pattern;
+  std::vector<std::string_view> parts = Split(text);
+  if (!parts.empty() && parts.back() == "**") {
+    pattern.open_end = true;
+    parts.pop_back();
+  }
+  const bool bad = std::ranges::any_of(parts, [](std::string_view part) {
+    const bool star = part.find('*') != std::string_view::npos;
+    return star && !IsWildcard(part);
+  });
+  const bool root = text == "/" || pattern.open_end;
+  if (bad || (!root && !CheckPath(text))) {
+    return std::nullopt;
+  }
+  pattern.segments.assign(parts.begin(), parts.end());
+  return pattern;
+}
+
+RuleTable::RuleTable(const std::map<std::string, Rule, std::less<>>& rules) {
+  for (const auto& [name, rule] : rules) {
+    m_entries.push_back({rule, *ParsePattern(rule.path)});
+  }
+  std::ranges::sort(m_entries, [](const Entry& a, const Entry& b) {
+    return RankOf(a.rule, a.pattern) > RankOf(b.rule, b.pattern);
+  });
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    const auto& segments = m_entries[i].pattern.segments;
+    if (segments.empty() || IsWildcard(segments.front())) {
+      m_any_first.push_back(i);
+    } else {
+      m_by_first[segments.front()].push_back(i);
+    }
+  }
+}
+
+const RuleTable::Entry* RuleTable::FindIn(
+    const std::vector<std::size_t>& bucket,
+    std::string_view method,
+    const std::vector<std::string_view>& segments) const {
+  const auto found = std::ranges::find_if(bucket, [&](std::size_t index) {
+    const Entry& entry = m_entries[index];
+    const bool same = entry.rule.method == "*" || entry.rule.method == method;
+    return same && Matches(entry.pattern, segments);
+  });
+  return found == bucket.end() ? nullptr : &m_entries[*found];
+}
+
+const Rule* RuleTable::Find(std::string_view method,
+                            std::string_view path) const {
+  const std::vector<std::string_view> segments = Split(path);
+  const Entry* best = FindIn(m_any_first, method, segments);
+  if (!segments.empty()) {
+    const auto bucket = m_by_first.find(segments.front());
+    const Entry* named = bucket == m_by_first.end()
+                             ? nullptr
+                             : FindIn(bucket->second, method, segments);
+    if (best == nullptr || (named != nullptr && named < best)) {
+      best = named;
+    }
+  }
+  return best == nullptr ? nullptr : &best->rule;
+}
+
+std::vector<RuleOverlap> FindOverlaps(
+    const std::map<std::string, Rule, std::less<>>& rules) {
+  std::vector<RuleOverlap> overlaps;
+  for (auto a = rules.begin(); a != rules.end(); ++a) {
+    const PathPattern pa = *ParsePattern(a->second.path);
+    for (auto b = std::next(a); b != rules.end(); ++b) {
+      const PathPattern pb = *ParsePattern(b->second.path);
+      if (RankOf(a->second, pa) == RankOf(b->second, pb) &&
+          CanShareRequest(a->second, pa, b->second, pb)) {
+        overlaps.push_back({a->first, b->first});
+      }
+    }
+  }
+  return overlaps;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -0,0 +1,436 @@
+#include "http/caller_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "http/fields.h"
+#include "log/log.h"
+#include "yuccamast/json_value.h"
+
+namespace yuccamast {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Bytes read from a caller at a time while its body arrives.
+constexpr std::size_t kReadChunk = 64U << 10U;
+
+/// How long a closing connection is still read from.
+constexpr std::chrono::seconds kLingerTime{2};
+
+bool IsTooLarge(const error_code& error) {
+  return error == http::error::body_limit;
+}
+
+bool HasBody(std::uint32_t status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
+                                   const CallerLimits& limits,
+                                   MemoryBudget& budget,
+                                   Metrics& metrics,
+                                   const CallerHooks& hooks)
+    : m_stream(std::move(socket)),
+      m_idle_timer(m_stream.get_executor()),
+      m_limits(limits),
+      m_metrics(metrics),
+      m_hooks(hooks),
+      m_memory(budget),
+      m_buffer(limits.max_head_bytes + kReadChunk) {
+  error_code ignored;
+  m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void CallerConnection::Start() {
+  WaitForRequest();
+}
+
+void CallerConnection::WaitForRequest() {
+  m_phase = Phase::kIdle;
+  if (m_buffer.size() > 0) {
+    ReadHead();
+    return;
+  }
+  // An idle connection holds no buffer: only readiness is waited for.
+  m_buffer = beast::flat_buffer(m_limits.max_head_bytes + kReadChunk);
+  m_idle_timer.expires_after(m_limits.idle_timeout);
+  m_idle_timer.async_wait([self = shared_from_this()](const error_code& error) {
+    if (!error) {
+      self->CloseIfIdle();
+    }
+  });
+  m_stream.socket().async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const error_code& error) {
+        self->OnReadable(error);
+      });
+}
+
+void CallerConnection::OnReadable(const error_code& error) {
+  m_idle_timer.cancel();
+  if (error || m_phase != Phase::kIdle) {
+    Close();
+    return;
+  }
+  ReadHead();
+}
+
+void CallerConnection::ReadHead() {
+  m_phase = Phase::kReading;
+  m_parser.emplace();
+  m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_head_bytes));
+  m_parser->body_limit(m_limits.max_body_bytes);
+  m_stream.expires_after(m_limits.head_timeout);
+  http::async_read_header(
+      m_stream, m_buffer, *m_parser,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+std::optional<RefusalReason> CallerConnection::CheckHead() const {
+  const auto& request = m_parser->get();
+  const beast::string_view target = request.target();
+  if (request.method() == http::verb::connect ||
+      request.find(http::field::upgrade) != request.end()) {
+    return RefusalReason::kUnsupported;
+  }
+  if (target.empty() || target.front() != '/') {
+    return RefusalReason::kAmbiguousPath;
+  }
+  const auto count = [&](http::field field) {
+    const auto range = request.equal_range(field);
+    return std::distance(range.first, range.second);
+  };
+  const bool chunked =
+      request.find(http::field::transfer_encoding) != request.end();
+  const bool length = count(http::field::content_length) > 0;
+  if (count(http::field::host) > 1 ||
+      (request.version() >= 11 && count(http::field::host) != 1) ||
+      count(http::field::content_length) > 1 || (chunked && length)) {
+    return RefusalReason::kBadRequest;
+  }
+  const bool only_chunked =
+      !chunked || (count(http::field::transfer_encoding) == 1 &&
+                   EqualFold({request[http::field::transfer_encoding].data(),
+                              request[http::field::transfer_encoding].size()},
+                             "chunked"));
+  if (!only_chunked) {
+    return RefusalReason::kUnsupported;
+  }
+  return std::nullopt;
+}
+
+void CallerConnection::OnHead(const error_code& error) {
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  if (error) {
+    RefuseParse(error);
+    return;
+  }
+  m_version = m_parser->get().version();
+  m_keep_alive = m_parser->get().keep_alive();
+  m_head_request = m_parser->get().method() == http::verb::head;
+  if (const auto reason = CheckHead()) {
+    Refuse(*reason);
+    return;
+  }
+  const auto length = m_parser->content_length();
+  if (length && !m_memory.GrowTo(static_cast<std::size_t>(*length))) {
+    Refuse(RefusalReason::kMemoryFull);
+    return;
+  }
+  const auto expect = m_parser->get()[http::field::expect];
+  if (!expect.empty() && !m_parser->is_done()) {
+    SendContinue();
+    return;
+  }
+  ReadBody();
+}
+
+void CallerConnection::SendContinue() {
+  static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  boost::asio::async_write(
+      m_stream, boost::asio::buffer(kContinue),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->ReadBody();
+      });
+}
+
+void CallerConnection::ReadBody() {
+  if (m_parser->is_done()) {
+    OnBody({});
+    return;
+  }
+  m_stream.expires_after(m_limits.body_timeout);
+  http::async_read_some(
+      m_stream, m_buffer, *m_parser,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnBody(error);
+      });
+}
+
+void CallerConnection::OnBody(const error_code& error) {
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  if (error) {
+    RefuseParse(error);
+    return;
+  }
+  if (!m_memory.GrowTo(m_parser->get().body().size())) {
+    Refuse(RefusalReason::kMemoryFull);
+    return;
+  }
+  if (!m_parser->is_done()) {
+    ReadBody();
+    return;
+  }
+  RunCall();
+}
+
+void CallerConnection::RunCall() {
+  m_phase = Phase::kRunning;
+  m_stream.expires_never();
+  auto message = m_parser->release();
+  m_parser.reset();
+  CallerRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  m_metrics.Add(Counter::kCallsReceived);
+  m_call = m_hooks.run(std::move(request),
+                       [weak = weak_from_this()](CallerReply reply) {
+                         if (const auto self = weak.lock()) {
+                           self->OnReply(std::move(reply));
+                         }
+                       });
+  if (m_phase == Phase::kRunning) {
+    WatchCaller();
+  } else {
+    m_call = {};  // It was answered at once.
+  }
+}
+
+void CallerConnection::WatchCaller() {
+  if (m_buffer.size() > 0) {
+    return;  // A pipelined request waits; the caller is still there.
+  }
+  m_stream.socket().async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const error_code& error) {
+        self->OnCallerSignal(error);
+      });
+}
+
+void CallerConnection::OnCallerSignal(const error_code& error) {
+  if (m_phase != Phase::kRunning || error) {
+    return;
+  }
+  char byte = 0;
+  const ssize_t got = ::recv(m_stream.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  const bool would_block = got < 0 && (errno == EAGAIN || errno == EINTR);
+  if (got > 0) {
+    return;  // A pipelined request; it stays in the kernel's buffer.
+  }
+  if (would_block) {
+    WatchCaller();
+    return;
+  }
+  m_metrics.Add(Counter::kCallersGone);
+  const CallHandle call = std::move(m_call);
+  Close();
+  if (call.caller_gone) {
+    call.caller_gone();
+  }
+}
+
+void CallerConnection::OnReply(CallerReply reply) {
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  m_call = {};
+  error_code ignored;
+  m_stream.socket().cancel(ignored);
+  const bool close = !m_keep_alive || m_hooks.leaving();
+  if (auto* whole = std::get_if<HttpReply>(&reply.result)) {
+    m_metrics.Add(Counter::kCallsAnswered);
+    Write(BuildReply(std::move(*whole), reply.call_id), close);
+  } else {
+    const auto reason = std::get<RefusalReason>(reply.result);
+    m_metrics.AddRefusal(reason);
+    Write(BuildRefusal(reason, reply.call_id), close);
+  }
+}
+
+CallerConnection::Response CallerConnection::BuildReply(
+    HttpReply reply,
+    const std::string& call_id) {
+  Response response;
+  response.version(m_version);
+  response.result(reply.status);
+  for (const HttpField& field : EndToEnd(reply.fields)) {
+    response.insert(field.name, field.value);
+  }
+  response.set(std::string(kCallIdField), call_id);
+  if (m_head_request) {
+    const std::string* length = FindField(reply.fields, "content-length");
+    if (length != nullptr) {
+      response.set(http::field::content_length, *length);
+    }
+  } else if (HasBody(reply.status)) {
+    response.set(http::field::content_length,
+                 std::to_string(reply.body.size()));
+    response.body() = std::move(reply.body);
+  }
+  return response;
+}
+
+CallerConnection::Response CallerConnection::BuildRefusal(
+    RefusalReason reason,
+    const std::string& call_id) {
+  const RefusalInfo& info = InfoOf(reason);
+  Response response;
+  response.version(m_version);
+  response.result(info.status);
+  response.set(std::string(kOutcomeField), std::string(NameOf(info.claim)));
+  response.set(std::string(kReasonField), std::string(info.name));
+  if (!call_id.empty()) {
+    response.set(std::string(kCallIdField), call_id);
+  }
+  JsonValue::Object body{{"outcome", NameOf(info.claim)},
+                         {"reason", info.name},
+                         {"call_id", call_id}};
+  if (info.retry_after) {
+    const unsigned seconds = m_hooks.retry_after();
+    response.set(http::field::retry_after, std::to_string(seconds));
+    body.push_back({"retry_after_s", seconds});
+  }
+  response.set(http::field::content_type, "application/json");
+  const std::string text = WriteJson(body) + "\n";
+  response.set(http::field::content_length, std::to_string(text.size()));
+  if (!m_head_request) {
+    response.body() = text;
+  }
+  return response;
+}
+
+void CallerConnection::RefuseParse(const error_code& error) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    Refuse(RefusalReason::kHeadTooLarge);
+  } else if (IsTooLarge(error)) {
+    Refuse(RefusalReason::kBodyTooLarge);
+  } else if (error == beast::error::timeout) {
+    Refuse(RefusalReason::kRequestTimeout);
+  } else if (error == http::error::end_of_stream ||
+             error == http::error::partial_message ||
+             error.category() == boost::asio::error::get_system_category() ||
+             error.category() == boost::asio::error::get_misc_category()) {
+    Close();
+  } else {
+    Refuse(RefusalReason::kBadRequest);
+  }
+}
+
+void CallerConnection::Refuse(RefusalReason reason) {
+  m_metrics.AddRefusal(reason);
+  Log(LogLevel::kDebug, LogEvent::kCallerRefused,
+      {{"reason", InfoOf(reason).name}});
+  Write(BuildRefusal(reason, ""), true);
+}
+
+void CallerConnection::RefuseAndClose(RefusalReason reason) {
+  Refuse(reason);
+}
+
+void CallerConnection::Write(Response response, bool close) {
+  m_phase = Phase::kWriting;
+  if (close) {
+    response.set(http::field::connection, "close");
+  } else if (m_version == 10) {
+    response.set(http::field::connection, "keep-alive");
+  }
+  m_response.emplace(std::move(response));
+  m_stream.expires_after(m_limits.write_timeout);
+  http::async_write(
+      m_stream, *m_response,
+      [self = shared_from_this(), close](const error_code& error, std::size_t) {
+        self->OnWritten(error, close);
+      });
+}
+
+void CallerConnection::OnWritten(const error_code& error, bool close) {
+  m_response.reset();
+  m_memory.Reset();
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  if (close) {
+    error_code ignored;
+    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                               ignored);
+    m_phase = Phase::kLingering;
+    Linger();
+    return;
+  }
+  WaitForRequest();
+}
+
+void CallerConnection::Linger() {
+  // Closing with unread bytes would reset the connection and could destroy the
+  // reply on its way; what still arrives is read and discarded for a while.
+  m_buffer.clear();
+  m_stream.expires_after(kLingerTime);
+  m_stream.async_read_some(
+      m_buffer.prepare(kReadChunk),
+      [self = shared_from_this()](const error_code& error, std::size_t size) {
+        self->m_lingered += size;
+        if (error || self->m_phase == Phase::kClosed ||
+            self->m_lingered > self->m_limits.max_body_bytes) {
+          self->Close();
+          return;
+        }
+        self->Linger();
+      });
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (m_phase == Phase::kIdle) {
+    Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (m_phase == Phase::kClosed) {
+    return;
+  }
+  m_phase = Phase::kClosed;
+  const auto keep = shared_from_this();
+  m_idle_timer.cancel();
+  m_stream.close();
+  m_hooks.on_closed(this);
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/http/fields.cpp
@@ -0,0 +1,95 @@
+#include "http/fields.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace yuccamast {
+
+namespace {
+
+constexpr std::array<std::string_view, 18> kHopFields = {"connection",
+                                                         "keep-alive",
+                                                         "proxy-connection",
+                                                         "proxy-authenticate",
+                                                         "proxy-authorization",
+                                                         "te",
+                                                         "trailer",
+                                                         "transfer-encoding",
+                                                         "upgrade",
+                                                         "content-length",
+                                                         "expect",
+                                                         kCallIdField,
+                                                         kOutcomeField,
+                                                         kReasonField,
+                                                         kDeadlineField,
+                                                         kDepthField,
+                                                         kRetryField,
+                                                         kShedField};
+
+char Lower(char c) {
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+/// Whether `name` is listed in the value of a Connection field.
+bool IsListed(std::string_view list, std::string_view name) {
+  std::size_t begin = 0;
+  while (begin <= list.size()) {
+    const std::size_t end = std::min(list.find(',', begin), list.size());
+    std::string_view item = list.substr(begin, end - begin);
+    while (!item.empty() && item.front() == ' ') {
+      item.remove_prefix(1);
+    }
+    while (!item.empty() && item.back() == ' ') {
+      item.remove_suffix(1);
+    }
+    if (EqualFold(item, name)) {
+      return true;
+    }
+    begin = end + 1;
+  }
+  return false;
+}
+
+}  // namespace
+
+bool EqualFold(std::string_view a, std::string_view b) {
+  return std::ranges::equal(a, b, {}, Lower, Lower);
+}
+
+const std::string* FindField(const std::vector<HttpField>& fields,
+                             std::string_view name) {
+  const auto found = std::ranges::find_if(fields, [&](const HttpField& field) {
+    return EqualFold(field.name, name);
+  });
+  return found == fields.end() ? nullptr : &found->value;
+}
+
+std::vector<HttpField> EndToEnd(const std::vector<HttpField>& fields) {
+  std::vector<HttpField> kept;
+  std::ranges::copy_if(
+      fields, std::back_inserter(kept), [&](const HttpField& field) {
+        const bool hop = std::ranges::any_of(
+            kHopFields, [&](auto name) { return EqualFold(name, field.name); });
+        const bool listed = std::ranges::any_of(fields, [&](const auto& other) {
+          return EqualFold(other.name, "connection") &&
+                 IsListed(other.value, field.name);
+        });
+        return !hop && !listed;
+      });
+  return kept;
+}
+
+std::optional<std::int64_t> ParseCount(std::string_view text) {
+  std::int64_t value = 0;
+  if (text.empty() || text.size() > 18 ||
+      !std::ranges::all_of(
+          text, [](unsigned char c) { return std::isdigit(c) != 0; })) {
+    return std::nullopt;
+  }
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -0,0 +1,293 @@
+#include "http/upstream_pool.h"
+
+#include <algorithm>
+
+#include "http/fields.h"
+
+namespace yuccamast {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+UpstreamPool::UpstreamPool(boost::asio::io_context& io,
+                           tcp::endpoint endpoint,
+                           const UpstreamLimits& limits,
+                           Metrics& metrics)
+    : m_io(io),
+      m_endpoint(std::move(endpoint)),
+      m_limits(limits),
+      m_metrics(metrics) {}
+
+UpstreamPool::~UpstreamPool() = default;
+
+std::shared_ptr<UpstreamRun> UpstreamPool::Run(UpstreamRequest request,
+                                               UpstreamHooks hooks) {
+  auto run = std::make_shared<UpstreamRun>(*this, std::move(request),
+                                           std::move(hooks));
+  run->Begin();
+  return run;
+}
+
+UpstreamPool::ConnectionPtr UpstreamPool::TakeIdle(bool idempotent) {
+  const TimePoint now = Clock::now();
+  while (!m_idle.empty() && now - m_idle.back()->used_at > m_limits.keep_idle) {
+    Drop(m_idle.back());
+  }
+  if (m_idle.empty()) {
+    return nullptr;
+  }
+  const Duration age = now - m_idle.front()->used_at;
+  if (!idempotent && age > m_limits.proven_alive) {
+    return nullptr;
+  }
+  ConnectionPtr connection = m_idle.front();
+  m_idle.pop_front();
+  ++connection->lease;
+  connection->stream.cancel();
+  return connection;
+}
+
+void UpstreamPool::Keep(ConnectionPtr connection) {
+  connection->used_at = Clock::now();
+  connection->stream.expires_never();
+  m_idle.push_front(connection);
+  Watch(connection);
+}
+
+void UpstreamPool::Watch(const ConnectionPtr& connection) {
+  connection->stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [this, connection, lease = connection->lease](const error_code& error) {
+        // Readable while idle: closed by the upstream, or bytes nobody asked
+        // for. Neither connection can be trusted with a request.
+        if (connection->lease == lease && !error) {
+          Drop(connection);
+        }
+      });
+}
+
+void UpstreamPool::Drop(const ConnectionPtr& connection) {
+  const ConnectionPtr keep = connection;
+  ++keep->lease;
+  m_idle.remove(keep);
+  keep->stream.close();
+  --m_open;
+}
+
+void UpstreamPool::CloseIdle() {
+  while (!m_idle.empty()) {
+    Drop(m_idle.back());
+  }
+}
+
+UpstreamRun::UpstreamRun(UpstreamPool& pool,
+                         UpstreamRequest request,
+                         UpstreamHooks hooks)
+    : m_pool(pool), m_request(std::move(request)), m_hooks(std::move(hooks)) {}
+
+void UpstreamRun::BuildMessage() {
+  m_message.version(11);
+  m_message.method_string(m_request.method);
+  m_message.target(m_request.target);
+  std::ranges::for_each(m_request.fields, [this](const HttpField& field) {
+    m_message.insert(field.name, field.value);
+  });
+  const bool has_body = !m_request.body.empty();
+  const bool expects_body = m_request.method == "POST" ||
+                            m_request.method == "PUT" ||
+                            m_request.method == "PATCH";
+  if (has_body || expects_body) {
+    m_message.set(http::field::content_length,
+                  std::to_string(m_request.body.size()));
+  }
+  m_message.body() = std::move(m_request.body);
+}
+
+void UpstreamRun::Begin() {
+  BuildMessage();
+  m_connection = m_pool.TakeIdle(m_request.idempotent);
+  if (m_connection != nullptr) {
+    m_pool.m_metrics.Add(Counter::kUpstreamReuses);
+    // A close that arrived in this instant is still seen before the write.
+    boost::asio::post(m_pool.m_io, [self = shared_from_this()] {
+      if (!self->m_over) {
+        self->Write();
+      }
+    });
+    return;
+  }
+  if (m_pool.m_open >= m_pool.m_limits.max_connections) {
+    boost::asio::post(m_pool.m_io, [self = shared_from_this()] {
+      self->Fail(RefusalReason::kUpstreamUnreachable);
+    });
+    return;
+  }
+  Connect();
+}
+
+void UpstreamRun::Connect() {
+  m_connection = std::make_shared<UpstreamPool::Connection>(m_pool.m_io);
+  ++m_pool.m_open;
+  m_pool.m_metrics.Add(Counter::kUpstreamConnects);
+  m_connection->stream.expires_after(m_pool.m_limits.connect_timeout);
+  m_connection->stream.async_connect(
+      m_pool.m_endpoint, [self = shared_from_this()](const error_code& error) {
+        if (self->m_over) {
+          return;
+        }
+        if (error) {
+          self->Fail(RefusalReason::kUpstreamUnreachable);
+          return;
+        }
+        error_code ignored;
+        self->m_connection->stream.socket().set_option(tcp::no_delay(true),
+                                                       ignored);
+        self->Write();
+      });
+}
+
+void UpstreamRun::Write() {
+  if (!m_hooks.start()) {
+    m_over = true;
+    m_pool.Keep(std::move(m_connection));
+    return;
+  }
+  m_connection->stream.expires_never();
+  http::async_write(
+      m_connection->stream, m_message,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        // A refused or shed request may be answered before it
+        // is written whole, so the reply is read in any case.
+        self->m_written = !error;
+      });
+  ReadHead();
+}
+
+void UpstreamRun::ReadHead() {
+  m_parser.emplace();
+  m_parser->header_limit(
+      static_cast<std::uint32_t>(m_pool.m_limits.max_head_bytes));
+  m_parser->body_limit(m_pool.m_limits.max_reply_bytes);
+  if (m_request.method == "HEAD") {
+    m_parser->skip(true);
+  }
+  http::async_read_header(
+      m_connection->stream, m_connection->buffer, *m_parser,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+void UpstreamRun::OnHead(const error_code& error) {
+  if (m_over) {
+    return;
+  }
+  if (error) {
+    Fail(ReasonOf(error));
+    return;
+  }
+  const unsigned status = m_parser->get().result_int();
+  if (status == 101) {
+    Fail(RefusalReason::kReplyIncomplete);
+    return;
+  }
+  if (status >= 100 && status < 200) {
+    ReadHead();
+    return;
+  }
+  m_hooks.reply_head();
+  ReadBody();
+}
+
+void UpstreamRun::ReadBody() {
+  if (m_parser->is_done()) {
+    Succeed();
+    return;
+  }
+  http::async_read(
+      m_connection->stream, m_connection->buffer, *m_parser,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnBody(error);
+      });
+}
+
+void UpstreamRun::OnBody(const error_code& error) {
+  if (m_over) {
+    return;
+  }
+  if (error) {
+    Fail(error == http::error::body_limit ? RefusalReason::kReplyTooLarge
+                                          : RefusalReason::kReplyIncomplete);
+    return;
+  }
+  Succeed();
+}
+
+RefusalReason UpstreamRun::ReasonOf(const error_code& error) const {
+  if (error == http::error::body_limit) {
+    return RefusalReason::kReplyTooLarge;
+  }
+  const bool begun =
+      error == http::error::partial_message ||
+      error.category() ==
+          http::make_error_code(http::error::bad_value).category();
+  const bool nothing = error == http::error::end_of_stream;
+  return begun && !nothing ? RefusalReason::kReplyIncomplete
+                           : RefusalReason::kUpstreamLost;
+}
+
+void UpstreamRun::Succeed() {
+  // Without a length or chunks, the end of the body is the end of the
+  // connection, and a cut reply cannot be told from a whole one.
+  const auto& message = m_parser->get();
+  const bool framed = m_parser->chunked() || m_parser->content_length() ||
+                      m_request.method == "HEAD" ||
+                      message.result_int() == 204 ||
+                      message.result_int() == 304;
+  if (!framed) {
+    Fail(RefusalReason::kReplyIncomplete);
+    return;
+  }
+  m_over = true;
+  const bool keep =
+      m_written && m_parser->keep_alive() && m_connection->buffer.size() == 0;
+  auto whole = m_parser->release();
+  if (keep) {
+    m_pool.Keep(std::move(m_connection));
+  } else {
+    m_pool.Drop(m_connection);
+  }
+  HttpReply reply;
+  reply.status = whole.result_int();
+  for (const auto& field : whole) {
+    reply.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  reply.body = std::move(whole.body());
+  m_hooks.done(std::move(reply));
+}
+
+void UpstreamRun::Fail(RefusalReason reason) {
+  if (m_over) {
+    return;
+  }
+  m_over = true;
+  if (m_connection != nullptr) {
+    m_pool.Drop(m_connection);
+  }
+  m_hooks.done(reason);
+}
+
+void UpstreamRun::Abort() {
+  if (m_over) {
+    return;
+  }
+  m_over = true;
+  if (m_connection != nullptr) {
+    m_pool.Drop(m_connection);
+  }
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/json/object_reader.cpp
@@ -0,0 +1,138 @@
+#include "json/object_reader.h"
+
+#include <algorithm>
+
+namespace yuccamast {
+
+std::string_view NameOf(FieldFault fault) {
+  switch (fault) {
+    case FieldFault::kMissing:
+      return "missing";
+    case FieldFault::kWrongType:
+      return "wrong_type";
+    case FieldFault::kOutOfRange:
+      return "out_of_range";
+    case FieldFault::kUnknownKey:
+      return "unknown_key";
+    case FieldFault::kUnknownName:
+      return "unknown_name";
+  }
+  return "wrong_type";
+}
+
+ObjectReader::ObjectReader(const JsonValue& value,
+                           std::string prefix,
+                           std::vector<FieldError>* errors)
+    : m_value(value), m_prefix(std::move(prefix)), m_errors(errors) {
+  if (m_value.AsObject() == nullptr) {
+    m_errors->push_back({m_prefix, FieldFault::kWrongType});
+  }
+}
+
+const JsonValue* ObjectReader::Get(std::string_view key) {
+  m_known.emplace(key);
+  return m_value.Find(key);
+}
+
+std::string ObjectReader::String(std::string_view key,
+                                 std::optional<std::string> otherwise) {
+  const JsonValue* value = Get(key);
+  if (value == nullptr) {
+    if (!otherwise) {
+      Report(key, FieldFault::kMissing);
+    }
+    return otherwise.value_or("");
+  }
+  const std::string* text = value->AsString();
+  if (text == nullptr) {
+    Report(key, FieldFault::kWrongType);
+    return "";
+  }
+  return *text;
+}
+
+std::int64_t ObjectReader::Int(std::string_view key,
+                               IntRange range,
+                               std::optional<std::int64_t> otherwise) {
+  const JsonValue* value = Get(key);
+  if (value == nullptr) {
+    if (!otherwise) {
+      Report(key, FieldFault::kMissing);
+    }
+    return otherwise.value_or(range.low);
+  }
+  const std::int64_t* number = value->AsInt();
+  if (number == nullptr) {
+    Report(key, FieldFault::kWrongType);
+    return range.low;
+  }
+  if (*number < range.low || *number > range.high) {
+    Report(key, FieldFault::kOutOfRange);
+    return range.low;
+  }
+  return *number;
+}
+
+double ObjectReader::Double(std::string_view key,
+                            double low,
+                            double high,
+                            double otherwise) {
+  const JsonValue* value = Get(key);
+  if (value == nullptr) {
+    return otherwise;
+  }
+  double number = otherwise;
+  if (const double* real = value->AsDouble()) {
+    number = *real;
+  } else if (const std::int64_t* whole = value->AsInt()) {
+    number = static_cast<double>(*whole);
+  } else {
+    Report(key, FieldFault::kWrongType);
+    return otherwise;
+  }
+  if (number < low || number > high) {
+    Report(key, FieldFault::kOutOfRange);
+  }
+  return number;
+}
+
+bool ObjectReader::Bool(std::string_view key, std::optional<bool> otherwise) {
+  const JsonValue* value = Get(key);
+  if (value == nullptr) {
+    if (!otherwise) {
+      Report(key, FieldFault::kMissing);
+    }
+    return otherwise.value_or(false);
+  }
+  const bool* flag = value->AsBool();
+  if (flag == nullptr) {
+    Report(key, FieldFault::kWrongType);
+    return false;
+  }
+  return *flag;
+}
+
+std::chrono::milliseconds ObjectReader::Millis(
+    std::string_view key,
+    IntRange range,
+    std::optional<std::int64_t> otherwise) {
+  return std::chrono::milliseconds(Int(key, range, otherwise));
+}
+
+void ObjectReader::Report(std::string_view key, FieldFault fault) {
+  m_errors->push_back({m_prefix + std::string(key), fault});
+}
+
+void ObjectReader::Finish() {
+  const JsonValue::Object* object = m_value.AsObject();
+  if (object == nullptr) {
+    return;
+  }
+  std::ranges::for_each(*object, [this](const JsonMember& member) {
+    if (!m_known.contains(member.key)) {
+      Report(member.key, FieldFault::kUnknownKey);
+    }
+  });
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/link/client.cpp
@@ -0,0 +1,99 @@
+#include "link/client.h"
+
+#include <array>
+
+namespace yuccamast {
+
+namespace {
+
+nghttp2_nv Header(std::string_view name, std::string_view value) {
+  const auto bytes = [](std::string_view text) {
+    return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
+  };
+  return {bytes(name), bytes(value), name.size(), value.size(),
+          NGHTTP2_NV_FLAG_NONE};
+}
+
+}  // namespace
+
+void LinkClient::Run(ClosedHook on_change) {
+  m_on_change = std::move(on_change);
+  Start();
+}
+
+std::int32_t LinkClient::Send(LinkPath path,
+                              std::string bytes,
+                              AnswerHook on_answer) {
+  if (closed()) {
+    return -1;
+  }
+  const std::array<nghttp2_nv, 4> headers = {
+      Header(":method", "POST"), Header(":scheme", "http"),
+      Header(":authority", "node"), Header(":path", NameOf(path))};
+  nghttp2_data_provider provider = BodyProvider();
+  const std::int32_t id = nghttp2_submit_request(
+      raw(), nullptr, headers.data(), headers.size(), &provider, nullptr);
+  if (id < 0) {
+    return id;
+  }
+  AddStream(id).sending = std::move(bytes);
+  m_hooks[id] = std::move(on_answer);
+  Flush();
+  return id;
+}
+
+bool LinkClient::Cancel(std::int32_t id) {
+  m_hooks.erase(id);
+  const Stream* stream = FindStream(id);
+  if (closed() || stream == nullptr) {
+    return false;
+  }
+  const bool unsent = !stream->sent_whole;
+  nghttp2_submit_rst_stream(raw(), NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+  Flush();
+  return unsent;
+}
+
+void LinkClient::Finish(std::int32_t id,
+                        StreamOutcome outcome,
+                        std::string bytes) {
+  auto hook = m_hooks.extract(id);
+  if (!hook.empty()) {
+    hook.mapped()(outcome, std::move(bytes));
+  }
+}
+
+void LinkClient::OnMessage(std::int32_t id, Stream& stream) {
+  Finish(id, StreamOutcome::kAnswered, std::move(stream.received));
+}
+
+void LinkClient::OnStreamEnd(std::int32_t id,
+                             Stream& stream,
+                             std::uint32_t error) {
+  const bool refused = error == NGHTTP2_REFUSED_STREAM;
+  const bool unsent = !stream.sent_whole;
+  const auto outcome =
+      refused || unsent ? StreamOutcome::kNotProcessed : StreamOutcome::kLost;
+  Finish(id, outcome, "");
+}
+
+void LinkClient::OnClosed() {
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+void LinkClient::OnSuspect() {
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+void LinkClient::OnGoAway() {
+  m_going_away = true;
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/link/server.cpp
@@ -0,0 +1,83 @@
+#include "link/server.h"
+
+#include <array>
+
+namespace yuccamast {
+
+void StreamReply::Answer(std::string bytes) const {
+  if (const auto server = m_server.lock()) {
+    server->Answer(m_id, std::move(bytes));
+  }
+}
+
+void StreamReply::Refuse() const {
+  if (const auto server = m_server.lock()) {
+    server->Refuse(m_id);
+  }
+}
+
+void LinkServer::Terminate() {
+  if (!closed()) {
+    const std::int32_t last = nghttp2_session_get_last_proc_stream_id(raw());
+    nghttp2_submit_goaway(raw(), NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR,
+                          nullptr, 0);
+    Flush();
+  }
+}
+
+std::uint64_t LinkServer::KeyOf(std::int32_t id) const {
+  return (std::uint64_t{m_number} << 32U) | static_cast<std::uint32_t>(id);
+}
+
+void LinkServer::Answer(std::int32_t id, std::string bytes) {
+  Stream* stream = FindStream(id);
+  if (closed() || stream == nullptr) {
+    return;
+  }
+  stream->sending = std::move(bytes);
+  static constexpr std::string_view kName = ":status";
+  static constexpr std::string_view kValue = "200";
+  const nghttp2_nv status = {
+      reinterpret_cast<std::uint8_t*>(const_cast<char*>(kName.data())),
+      reinterpret_cast<std::uint8_t*>(const_cast<char*>(kValue.data())),
+      kName.size(), kValue.size(), NGHTTP2_NV_FLAG_NONE};
+  nghttp2_data_provider provider = BodyProvider();
+  nghttp2_submit_response(raw(), id, &status, 1, &provider);
+  Flush();
+}
+
+void LinkServer::Refuse(std::int32_t id) {
+  if (closed() || FindStream(id) == nullptr) {
+    return;
+  }
+  nghttp2_submit_rst_stream(raw(), NGHTTP2_FLAG_NONE, id,
+                            NGHTTP2_REFUSED_STREAM);
+  Flush();
+}
+
+void LinkServer::OnMessage(std::int32_t id, Stream& stream) {
+  const auto path = LinkPathFromName(stream.path);
+  const StreamReply reply(
+      std::static_pointer_cast<LinkServer>(shared_from_this()), id);
+  if (!path) {
+    reply.Refuse();
+    return;
+  }
+  m_hooks.on_message(*path, std::move(stream.received), reply, KeyOf(id));
+}
+
+void LinkServer::OnStreamEnd(std::int32_t id,
+                             Stream& stream,
+                             std::uint32_t /*error*/) {
+  if (stream.dispatched && !stream.sent_whole) {
+    m_hooks.on_cancelled(KeyOf(id));
+  }
+}
+
+void LinkServer::OnClosed() {
+  if (m_hooks.on_closed) {
+    m_hooks.on_closed(this);
+  }
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/log/log.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file log.h
+/// Structured log: one line of key=value pairs an event, on standard error.
+///
+/// The lines are written by easylogging++. Values are quoted when needed, and
+/// control bytes, quotes and backslashes are escaped, so text that came from
+/// outside cannot forge a second line or field.
+
+namespace yuccamast {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+std::string_view NameOf(LogLevel level);
+std::optional<LogLevel> LogLevelFromName(std::string_view name);
+
+/// What happened. Names in log.cpp; docs/LOGS.md lists them.
+enum class LogEvent : std::uint8_t {
+  kNodeStarted,
+  kNodeLeaving,
+  kNodeStopped,
+  kStopOverrun,
+  kStopCallLeft,
+  kSettingsRefused,
+  kConfigAccepted,
+  kConfigRefused,
+  kConfigStale,
+  kConfigConflict,
+  kPlatformUnreachable,
+  kPlatformReachable,
+  kVmListAccepted,
+  kVmListRefused,
+  kPeerConnected,
+  kPeerLost,
+  kPeerLeaving,
+  kPeerRefused,
+  kPauseNoticed,
+  kCallRefused,
+  kCallFinished,
+  kCallRetried,
+  kReplyDropped,
+  kUpstreamFault,
+  kOfferRefused,
+  kCallerRefused,
+  kInternal,
+};
+
+std::string_view NameOf(LogEvent event);
+
+/// One field of a line. Numbers are kept as text.
+struct LogField {
+  LogField(std::string_view k, std::string_view v) : key(k), value(v) {}
+  LogField(std::string_view k, const char* v) : key(k), value(v) {}
+  LogField(std::string_view k, const std::string& v) : key(k), value(v) {}
+  template <typename Number>
+  requires std::is_arithmetic_v<Number> LogField(std::string_view k, Number v)
+      : key(k), value(std::to_string(v)) {}
+
+  std::string_view key;
+  std::string value;
+};
+
+/// Formats one line without its end. Pure; exposed for tests.
+std::string FormatLine(LogLevel level,
+                       LogEvent event,
+                       std::initializer_list<LogField> fields);
+
+/// Sets up the logger once, before threads start.
+void SetUpLog(LogLevel lowest, std::string_view node);
+
+/// Whether lines of `level` are written. Thread-safe and cheap.
+bool IsLogged(LogLevel level);
+
+/// Writes one line. Thread-safe.
+void Log(LogLevel level,
+         LogEvent event,
+         std::initializer_list<LogField> fields);
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -0,0 +1,385 @@
+#include "node/entry_call.h"
+
+#include <algorithm>
+
+#include "http/fields.h"
+#include "log/log.h"
+
+namespace yuccamast {
+
+namespace {
+
+/// Beyond the deadline, the exit's word is waited for this long at least.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(10);
+
+/// Shortest remaining time that is worth an offer.
+constexpr Duration kLeastTime = std::chrono::milliseconds(1);
+
+bool IsServerError(std::uint32_t status) {
+  return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+std::uint64_t Micros(Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+}  // namespace
+
+EntryCall::EntryCall(EntryContext& context, CallerRequest request, Done done)
+    : m_context(context),
+      m_request(std::move(request)),
+      m_done(std::move(done)),
+      m_id(context.settings.vm + "-" + context.origin_boot + "-" +
+           std::to_string(++context.calls)),
+      m_begun_at(Clock::now()),
+      m_timer(context.io) {}
+
+std::optional<RefusalReason> EntryCall::ReadOwnFields() {
+  if (const auto* text = FindField(m_request.fields, kDepthField)) {
+    const auto depth = ParseCount(*text);
+    if (!depth) {
+      return RefusalReason::kBadRequest;
+    }
+    if (*depth >= static_cast<std::int64_t>(m_context.settings.max_depth)) {
+      return RefusalReason::kDepthExceeded;
+    }
+    m_depth = static_cast<std::uint32_t>(*depth);
+  }
+  if (const auto* text = FindField(m_request.fields, kDeadlineField)) {
+    m_inherited_ms = ParseCount(*text);
+    if (!m_inherited_ms) {
+      return RefusalReason::kBadRequest;
+    }
+  }
+  m_below_retry = FindField(m_request.fields, kRetryField) != nullptr;
+  return std::nullopt;
+}
+
+std::optional<RefusalReason> EntryCall::Match() {
+  const std::string_view target = m_request.target;
+  const std::string_view path = target.substr(0, target.find('?'));
+  if (!CheckPath(path) || target.find('#') != std::string_view::npos) {
+    return RefusalReason::kAmbiguousPath;
+  }
+  if (const auto reason = ReadOwnFields()) {
+    return reason;
+  }
+  if (m_context.view_is_old()) {
+    return RefusalReason::kPaused;
+  }
+  m_view = m_context.store.Load();
+  if (m_view->config == nullptr || m_view->vms == nullptr) {
+    return RefusalReason::kNoConfiguration;
+  }
+  m_rule = FindRule(*m_view->config, m_request.method, path);
+  if (m_rule == nullptr) {
+    return RefusalReason::kNoRule;
+  }
+  m_service = &m_view->services.find(m_rule->service)->second;
+  Duration allowed = m_rule->deadline;
+  if (m_inherited_ms) {
+    allowed =
+        std::min<Duration>(allowed, std::chrono::milliseconds(*m_inherited_ms));
+  }
+  m_deadline = m_begun_at + allowed;
+  return std::nullopt;
+}
+
+void EntryCall::Begin() {
+  if (const auto reason = Match()) {
+    Refuse(*reason);
+    return;
+  }
+  m_life.MoveTo(CallStep::kMatched);
+  m_service->retries->OnFirstAttempt(m_service->service.retry_share);
+  ArmDeadline();
+  TryNext(RefusalReason::kNoUpstream);
+}
+
+void EntryCall::ArmDeadline() {
+  m_timer.expires_at(m_deadline + kDeadlineGrace);
+  m_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error) {
+          self->OnDeadline();
+        }
+      });
+}
+
+void EntryCall::TryNext(RefusalReason if_none) {
+  const TimePoint now = Clock::now();
+  if (now + kLeastTime >= m_deadline) {
+    Refuse(m_may_be_second ? RefusalReason::kDeadlineUnknown
+                           : RefusalReason::kDeadlineNotRun);
+    return;
+  }
+  const RandomHook random = [this] { return m_context.random(); };
+  ChoiceContext choice;
+  choice.now = now;
+  choice.turn = m_context.calls;
+  choice.prior_others = SamplePrior(m_service->candidates, random);
+  const auto member = Choose(m_service->service.policy, m_service->candidates,
+                             m_tried, choice, random);
+  if (!member || m_offers >= kMaxOffers) {
+    if (m_fallback) {
+      Deliver(std::move(*m_fallback), Duration::zero());
+      return;
+    }
+    Refuse(if_none);
+    return;
+  }
+  m_life.MoveTo(CallStep::kChosen);
+  Offer(*member);
+}
+
+Duration EntryCall::ReplyMargin(const Attempt& attempt) const {
+  // The exit's word on a passed deadline should arrive before this entry
+  // gives up, so the exit is given a round trip less.
+  return std::min(attempt.link->round_trip(), (m_deadline - m_begun_at) / 4);
+}
+
+OfferMessage EntryCall::BuildOffer(const Attempt& attempt) {
+  OfferMessage offer;
+  offer.origin = {m_context.settings.vm, m_context.boot_id,
+                  attempt.link->NextSequence()};
+  offer.call_id = m_id;
+  offer.upstream = m_service->members[attempt.member].upstream;
+  offer.rule = m_rule->name;
+  offer.idempotent = m_rule->idempotent;
+  offer.long_weight = m_rule->weight == WeightClass::kLong;
+  offer.remaining_us = static_cast<std::int64_t>(
+      Micros(m_deadline - attempt.sent_at - ReplyMargin(attempt)));
+  offer.depth = m_depth + 1;
+  offer.retry = m_below_retry || m_may_be_second;
+  offer.method = m_request.method;
+  offer.target = m_request.target;
+  offer.fields = EndToEnd(m_request.fields);
+  offer.body = m_request.body;
+  return offer;
+}
+
+void EntryCall::Offer(std::size_t member) {
+  ++m_offers;
+  m_tried.push_back(member);
+  m_attempt = {};
+  m_attempt.member = member;
+  m_attempt.state = m_service->candidates[member].state;
+  m_attempt.link = m_context.link(m_service->members[member].node);
+  m_attempt.sent_at = Clock::now();
+  m_attempt.open = true;
+  m_attempt.state->OnSent(m_attempt.sent_at);
+  m_life.MoveTo(CallStep::kOffered);
+  OfferHooks hooks;
+  hooks.on_answer = [self = shared_from_this()](StreamOutcome outcome,
+                                                const std::string& bytes) {
+    self->OnAnswer(outcome, bytes);
+  };
+  hooks.on_suspect = [self = shared_from_this()] { self->OnSuspect(); };
+  m_attempt.offer = m_attempt.link->Send(
+      LinkPath::kCall, Pack(BuildOffer(m_attempt)), std::move(hooks));
+}
+
+void EntryCall::EndAttempt(AttemptEnd end) {
+  if (!m_attempt.open) {
+    return;
+  }
+  m_attempt.open = false;
+  const TimePoint now = Clock::now();
+  m_attempt.state->OnEnd(end, now - m_attempt.sent_at, now, {});
+}
+
+void EntryCall::OnAnswer(StreamOutcome outcome, const std::string& bytes) {
+  if (m_over) {
+    return;
+  }
+  switch (outcome) {
+    case StreamOutcome::kNotProcessed:
+      EndAttempt(AttemptEnd::kFailed);
+      OnRefusal(RefusalReason::kPeerUnreachable);
+      return;
+    case StreamOutcome::kLost:
+      EndAttempt(AttemptEnd::kFailed);
+      OnUnknown(RefusalReason::kPeerLost);
+      return;
+    case StreamOutcome::kAnswered:
+      break;
+  }
+  auto answer = Unpack<AnswerMessage>(bytes);
+  if (!answer) {
+    EndAttempt(AttemptEnd::kFailed);
+    OnUnknown(RefusalReason::kPeerLost);
+    return;
+  }
+  OnWord(std::move(*answer));
+}
+
+void EntryCall::OnWord(AnswerMessage answer) {
+  m_attempt.state->OnReport(answer.load, Clock::now());
+  if (answer.refused) {
+    const auto reason =
+        RefusalFromValue(answer.reason).value_or(RefusalReason::kPeerLost);
+    const bool unknown = InfoOf(reason).claim == RunClaim::kUnknown;
+    const bool broken =
+        unknown || reason == RefusalReason::kUpstreamUnreachable;
+    EndAttempt(broken ? AttemptEnd::kFailed : AttemptEnd::kRefused);
+    if (unknown) {
+      OnUnknown(reason);
+    } else {
+      OnRefusal(reason);
+    }
+    return;
+  }
+  const bool failed = IsServerError(answer.reply.status);
+  EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kAnswered);
+  if (failed && m_rule->idempotent && MayRetry()) {
+    m_fallback = std::move(answer.reply);
+    m_may_be_second = true;
+    TryNext(RefusalReason::kNoUpstream);
+    return;
+  }
+  Deliver(std::move(answer.reply),
+          std::chrono::microseconds(answer.queue_us + answer.upstream_us));
+}
+
+void EntryCall::OnRefusal(RefusalReason reason) {
+  if (m_may_be_second && !InfoOf(reason).movable) {
+    OnUnknown(RefusalReason::kDeadlineUnknown);
+    return;
+  }
+  if (!InfoOf(reason).movable) {
+    Refuse(reason);
+    return;
+  }
+  m_context.metrics.Add(Counter::kCallsMoved);
+  TryNext(reason);
+}
+
+bool EntryCall::MayRetry() {
+  if (m_below_retry || m_offers >= kMaxOffers) {
+    return false;
+  }
+  if (!m_service->retries->TryRetry()) {
+    m_context.metrics.Add(Counter::kRetriesDenied);
+    return false;
+  }
+  m_context.metrics.Add(Counter::kCallsRetried);
+  Log(LogLevel::kDebug, LogEvent::kCallRetried,
+      {{"call", m_id}, {"rule", m_rule->name}});
+  return true;
+}
+
+void EntryCall::OnUnknown(RefusalReason reason) {
+  if (m_rule->idempotent && reason != RefusalReason::kDeadlineUnknown &&
+      MayRetry()) {
+    m_may_be_second = true;
+    TryNext(reason);
+    return;
+  }
+  m_may_be_second = true;
+  if (m_fallback) {
+    Deliver(std::move(*m_fallback), Duration::zero());
+    return;
+  }
+  Refuse(reason);
+}
+
+void EntryCall::OnSuspect() {
+  if (m_over || !m_attempt.open || !m_rule->idempotent || !MayRetry()) {
+    return;
+  }
+  m_attempt.link->Cancel(m_attempt.offer);
+  EndAttempt(AttemptEnd::kFailed);
+  m_may_be_second = true;
+  TryNext(RefusalReason::kPeerLost);
+}
+
+void EntryCall::OnDeadline() {
+  if (m_over) {
+    return;
+  }
+  bool proof = !m_attempt.open;
+  if (m_attempt.open) {
+    proof = m_attempt.link->Cancel(m_attempt.offer);
+    EndAttempt(AttemptEnd::kFailed);
+  }
+  Refuse(proof ? RefusalReason::kDeadlineNotRun
+               : RefusalReason::kDeadlineUnknown);
+}
+
+void EntryCall::CallerGone() {
+  if (m_over) {
+    return;
+  }
+  if (m_attempt.open) {
+    m_attempt.link->Cancel(m_attempt.offer);
+    EndAttempt(AttemptEnd::kAbandoned);
+  }
+  m_done = nullptr;
+  Finish();
+}
+
+void EntryCall::Deliver(HttpReply reply, Duration at_upstream) {
+  const Duration took = Clock::now() - m_begun_at;
+  m_context.metrics.Record(Latency::kCall, took);
+  if (at_upstream > Duration::zero()) {
+    m_context.metrics.Record(Latency::kAdded, took - at_upstream);
+  }
+  m_life.MoveTo(CallStep::kAnswered);
+  if (IsLogged(LogLevel::kDebug)) {
+    Log(LogLevel::kDebug, LogEvent::kCallFinished,
+        {{"call", m_id},
+         {"rule", m_rule->name},
+         {"status", reply.status},
+         {"us", Micros(took)},
+         {"offers", m_offers}});
+  }
+  const Done done = std::move(m_done);
+  m_done = nullptr;
+  Finish();
+  done({m_id, std::move(reply)});
+}
+
+void EntryCall::Refuse(RefusalReason reason) {
+  // A claim of "not run" falls if an earlier offer may have run.
+  if (m_may_be_second && InfoOf(reason).claim == RunClaim::kNotRun) {
+    reason = RefusalReason::kPeerLost;
+  }
+  m_life.MoveTo(CallStep::kRefused);
+  Log(LogLevel::kDebug, LogEvent::kCallRefused,
+      {{"call", m_id},
+       {"reason", InfoOf(reason).name},
+       {"outcome", NameOf(InfoOf(reason).claim)},
+       {"target", m_request.target}});
+  const Done done = std::move(m_done);
+  m_done = nullptr;
+  Finish();
+  done({m_id, reason});
+}
+
+void EntryCall::Finish() {
+  if (m_over) {
+    return;
+  }
+  m_over = true;
+  m_timer.cancel();
+  m_life.MoveTo(CallStep::kFinished);
+  if (on_finished) {
+    on_finished(this);
+  }
+}
+
+JsonValue EntryCall::ToJson(TimePoint now) const {
+  const bool matched = m_rule != nullptr;
+  const std::string upstream =
+      m_offers == 0 ? "" : m_service->members[m_attempt.member].upstream;
+  return JsonValue::Object{{"call", m_id},
+                           {"rule", matched ? m_rule->name : ""},
+                           {"idempotent", matched && m_rule->idempotent},
+                           {"upstream", upstream},
+                           {"step", NameOf(m_life.step())},
+                           {"offers", std::uint64_t{m_offers}},
+                           {"age_us", Micros(now - m_begun_at)}};
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/entry_call.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "http/caller_connection.h"
+#include "node/fleet_view.h"
+#include "node/peer_link.h"
+#include "node/settings.h"
+#include "yuccamast/outcome/call_life.h"
+
+/// \file entry_call.h
+/// One call at the entry: match, choose, offer, and what follows.
+///
+/// The rules of moving and retrying are here:
+/// - a refusal with proof of no run may be moved to another upstream, whatever
+///   the rule says, up to `kMaxOffers` offers in all;
+/// - an unknown outcome ends a non-idempotent call as `unknown`;
+/// - an idempotent call with an unknown outcome or a server error is offered
+///   again if the retry budget allows and no call above it is a retry.
+/// The caller gets exactly one reply.
+
+namespace yuccamast {
+
+/// Offers of one call, moves and retries together.
+inline constexpr std::size_t kMaxOffers = 3;
+
+/// What the calls of one entry thread share. Used on that thread only.
+struct EntryContext {
+  boost::asio::io_context& io;
+  const NodeSettings& settings;
+  FleetStore& store;
+  Metrics& metrics;
+  std::string origin_boot;    ///< Text of the boot id, for call ids.
+  std::uint64_t boot_id = 0;  ///< Unique to this thread of this process.
+  std::uint64_t calls = 0;    ///< Calls begun, for call ids.
+  std::mt19937_64 random;
+  std::function<std::shared_ptr<PeerLink>(const tcp::endpoint&)> link;
+  /// Whether the view of the world is too old to route by.
+  std::function<bool()> view_is_old;
+};
+
+/// Use from the entry's thread only.
+class EntryCall : public std::enable_shared_from_this<EntryCall> {
+ public:
+  using Done = std::function<void(CallerReply)>;
+
+  EntryCall(EntryContext& context, CallerRequest request, Done done);
+
+  /// Starts; may call `done` before it returns.
+  void Begin();
+
+  /// The caller is gone: gives up what may be given up. `done` is not called.
+  void CallerGone();
+
+  const std::string& id() const { return m_id; }
+  JsonValue ToJson(TimePoint now) const;
+
+  /// Called once, when nothing of the call is left.
+  std::function<void(EntryCall*)> on_finished;
+
+ private:
+  /// One offer: the member it went to and its link.
+  struct Attempt {
+    std::size_t member = 0;
+    std::shared_ptr<UpstreamState> state;
+    std::shared_ptr<PeerLink> link;
+    OfferId offer = 0;
+    TimePoint sent_at;
+    bool open = false;
+  };
+
+  std::optional<RefusalReason> Match();
+  std::optional<RefusalReason> ReadOwnFields();
+  void ArmDeadline();
+  void TryNext(RefusalReason if_none);
+  void Offer(std::size_t member);
+  OfferMessage BuildOffer(const Attempt& attempt);
+  Duration ReplyMargin(const Attempt& attempt) const;
+  void OnAnswer(StreamOutcome outcome, const std::string& bytes);
+  void OnWord(AnswerMessage answer);
+  void OnRefusal(RefusalReason reason);
+  void OnUnknown(RefusalReason reason);
+  void OnSuspect();
+  void OnDeadline();
+  void EndAttempt(AttemptEnd end);
+  bool MayRetry();
+  void Deliver(HttpReply reply, Duration at_upstream);
+  void Refuse(RefusalReason reason);
+  void Finish();
+
+  EntryContext& m_context;
+  CallerRequest m_request;
+  Done m_done;
+  std::string m_id;
+  CallLife m_life;
+  std::shared_ptr<const FleetView> m_view;
+  const Rule* m_rule = nullptr;
+  const ServiceView* m_service = nullptr;
+  TimePoint m_begun_at;
+  TimePoint m_deadline;
+  asio::steady_timer m_timer;
+  std::vector<std::size_t> m_tried;
+  Attempt m_attempt;
+  std::size_t m_offers = 0;
+  std::uint32_t m_depth = 0;
+  bool m_below_retry = false;    ///< A call above this one is a retry.
+  bool m_may_be_second = false;  ///< An earlier offer may have run.
+  std::optional<std::int64_t> m_inherited_ms;
+  std::optional<HttpReply> m_fallback;  ///< A server error, if retries fail.
+  bool m_over = false;
+};
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -0,0 +1,280 @@
+#include "node/entry_worker.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <sstream>
+
+#include "log/log.h"
+
+namespace yuccamast {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kPauseGap = std::chrono::milliseconds(400);
+constexpr Duration kSettle = std::chrono::milliseconds(50);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+/// `Retry-After` is spread over this many seconds, so that refused callers do
+/// not come back all at once.
+constexpr std::uint64_t kRetryAfterSpread = 4;
+
+std::string HexOf(std::uint64_t value) {
+  std::ostringstream text;
+  text << std::hex << value;
+  return text.str();
+}
+
+using ReusePort =
+    boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+}  // namespace
+
+EntryWorker::EntryWorker(EntryShared& shared, std::uint64_t boot_id)
+    : m_shared(shared),
+      m_io(1),
+      m_acceptor(m_io),
+      m_tick(m_io),
+      m_context{m_io,
+                shared.settings,
+                shared.store,
+                shared.metrics,
+                HexOf(boot_id),
+                boot_id,
+                0,
+                {},
+                {},
+                {}},
+      m_pause(kPauseGap, kSettle, Clock::now()) {
+  std::seed_seq seed{boot_id, boot_id >> 32U};
+  m_context.random.seed(seed);
+  m_context.link = [this](const tcp::endpoint& endpoint) {
+    return LinkTo(endpoint);
+  };
+  m_context.view_is_old = [this] {
+    const TimePoint now = Clock::now();
+    if (m_pause.Check(now) > Duration::zero()) {
+      m_shared.metrics.Add(Counter::kPauses);
+      Log(LogLevel::kWarning, LogEvent::kPauseNoticed, {{"face", "entry"}});
+    }
+    return m_pause.Settling(now);
+  };
+  m_hooks.run = [this](CallerRequest request,
+                       std::function<void(CallerReply)> done) {
+    return RunCall(std::move(request), std::move(done));
+  };
+  m_hooks.leaving = [this] {
+    return m_shared.leaving.load(std::memory_order_relaxed);
+  };
+  m_hooks.on_closed = [this](CallerConnection* connection) {
+    if (m_callers.erase(connection) > 0) {
+      m_shared.connections.fetch_sub(1, std::memory_order_relaxed);
+    }
+  };
+  m_hooks.retry_after = [this] {
+    return static_cast<unsigned>(1 + m_context.random() % kRetryAfterSpread);
+  };
+}
+
+EntryWorker::~EntryWorker() {
+  boost::asio::post(m_io, [this] {
+    StopAccepting();
+    m_tick.cancel();
+    const auto links = m_links;
+    std::ranges::for_each(links,
+                          [](const auto& item) { item.second->Close(); });
+    m_guard.reset();
+    m_io.stop();
+  });
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void EntryWorker::Start() {
+  const tcp::endpoint endpoint(
+      boost::asio::ip::make_address(m_shared.settings.ip),
+      m_shared.settings.caller_port);
+  m_acceptor.open(endpoint.protocol());
+  m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+  m_acceptor.set_option(ReusePort(true));
+  m_acceptor.bind(endpoint);
+  m_acceptor.listen();
+  m_guard.emplace(m_io.get_executor());
+  Accept();
+  ArmTick();
+  m_thread = std::thread([this] { m_io.run(); });
+}
+
+bool EntryWorker::RunThere(std::function<void()> work, Duration limit) {
+  const auto done = std::make_shared<std::promise<void>>();
+  auto future = done->get_future();
+  boost::asio::post(m_io, [work = std::move(work), done] {
+    work();
+    done->set_value();
+  });
+  return future.wait_for(limit) == std::future_status::ready;
+}
+
+void EntryWorker::Accept() {
+  m_acceptor.async_accept(
+      [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted ||
+            !m_acceptor.is_open()) {
+          return;
+        }
+        if (error) {
+          // Out of descriptors, most likely: leave the others time to close.
+          m_tick.expires_after(kAcceptPause);
+          m_tick.async_wait([this](const boost::system::error_code&) {
+            Accept();
+            ArmTick();
+          });
+          return;
+        }
+        AddCaller(std::move(socket));
+        Accept();
+      });
+}
+
+void EntryWorker::AddCaller(tcp::socket socket) {
+  auto connection = std::make_shared<CallerConnection>(
+      std::move(socket), m_shared.settings.caller, m_shared.budget,
+      m_shared.metrics, m_hooks);
+  m_callers[connection.get()] = connection;
+  const std::size_t open =
+      m_shared.connections.fetch_add(1, std::memory_order_relaxed) + 1;
+  if (open > m_shared.settings.caller.max_connections) {
+    m_shared.metrics.Add(Counter::kCallerConnectionsRefused);
+    connection->RefuseAndClose(RefusalReason::kTooManyConnections);
+    return;
+  }
+  m_shared.metrics.Add(Counter::kCallerConnections);
+  connection->Start();
+}
+
+CallHandle EntryWorker::RunCall(CallerRequest request,
+                                std::function<void(CallerReply)> done) {
+  auto call = std::make_shared<EntryCall>(m_context, std::move(request),
+                                          std::move(done));
+  call->on_finished = [this](EntryCall* finished) { m_calls.erase(finished); };
+  m_calls[call.get()] = call;
+  call->Begin();
+  return {[weak = std::weak_ptr<EntryCall>(call)] {
+    if (const auto still = weak.lock()) {
+      still->CallerGone();
+    }
+  }};
+}
+
+std::shared_ptr<PeerLink> EntryWorker::LinkTo(const tcp::endpoint& endpoint) {
+  auto& link = m_links[endpoint];
+  if (link == nullptr) {
+    link = std::make_shared<PeerLink>(m_io, endpoint, m_shared.settings.link,
+                                      m_shared.metrics);
+  }
+  return link;
+}
+
+void EntryWorker::ArmTick() {
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      OnTick();
+    }
+  });
+}
+
+void EntryWorker::OnTick() {
+  m_context.view_is_old();
+  CloseIdleLinks();
+  ArmTick();
+}
+
+void EntryWorker::CloseIdleLinks() {
+  const auto view = m_shared.store.Load();
+  if (view->vms == nullptr || view->vms == m_links_checked_for) {
+    return;
+  }
+  bool all_closed = true;
+  std::erase_if(m_links, [&](const auto& item) {
+    const bool listed =
+        std::ranges::any_of(view->vms->vms, [&](const VmRecord& vm) {
+          return vm.inner_port == item.first.port() &&
+                 vm.ip == item.first.address().to_string();
+        });
+    if (listed) {
+      return false;
+    }
+    if (item.second->open_offers() > 0) {
+      all_closed = false;
+      return false;
+    }
+    item.second->Close();
+    return true;
+  });
+  if (all_closed) {
+    m_links_checked_for = view->vms;
+  }
+}
+
+void EntryWorker::AcceptBacklog() {
+  // Connections that the kernel has already accepted would be reset by the
+  // close of the listener.
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(m_io);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      AddCaller(std::move(socket));
+    }
+  }
+}
+
+void EntryWorker::StopAccepting() {
+  boost::system::error_code ignored;
+  if (m_acceptor.is_open()) {
+    AcceptBacklog();
+    m_acceptor.close(ignored);
+  }
+  const auto callers = m_callers;
+  std::ranges::for_each(callers,
+                        [](const auto& item) { item.second->CloseIfIdle(); });
+}
+
+std::vector<std::string> EntryWorker::CallIds() const {
+  std::vector<std::string> ids;
+  std::ranges::transform(m_calls, std::back_inserter(ids),
+                         [](const auto& item) { return item.second->id(); });
+  return ids;
+}
+
+JsonValue EntryWorker::ToJson() const {
+  const TimePoint now = Clock::now();
+  JsonValue::Array calls;
+  std::ranges::transform(
+      m_calls, std::back_inserter(calls),
+      [&](const auto& item) { return item.second->ToJson(now); });
+  JsonValue::Array links;
+  std::ranges::transform(
+      m_links, std::back_inserter(links), [&](const auto& item) {
+        return JsonValue::Object{
+            {"peer", item.first.address().to_string() + ":" +
+                         std::to_string(item.first.port())},
+            {"connected", item.second->connected()},
+            {"open_offers", std::uint64_t{item.second->open_offers()}},
+            {"round_trip_us",
+             std::int64_t{std::chrono::duration_cast<std::chrono::microseconds>(
+                              item.second->round_trip())
+                              .count()}}};
+      });
+  return JsonValue::Object{{"callers", std::uint64_t{m_callers.size()}},
+                           {"calls", std::move(calls)},
+                           {"links", std::move(links)}};
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -0,0 +1,127 @@
+#include "node/fleet_view.h"
+
+#include <algorithm>
+
+namespace yuccamast {
+
+namespace {
+
+std::string KeyOf(const Upstream& upstream, const VmRecord& vm) {
+  return upstream.name + "@" + vm.id + "@" + vm.ip + ":" +
+         std::to_string(vm.inner_port);
+}
+
+const VmRecord* FindVm(const VmList& list, const std::string& id) {
+  const auto found = std::ranges::lower_bound(list.vms, id, {}, &VmRecord::id);
+  return found != list.vms.end() && found->id == id ? &*found : nullptr;
+}
+
+}  // namespace
+
+FleetStore::FleetStore(const NodeSettings& settings)
+    : m_settings(settings), m_view(std::make_shared<const FleetView>()) {}
+
+void FleetStore::SetConfig(std::shared_ptr<const Configuration> config) {
+  const std::lock_guard lock(m_mutex);
+  m_config = std::move(config);
+  Rebuild();
+}
+
+void FleetStore::SetVms(std::shared_ptr<const VmList> vms) {
+  const std::lock_guard lock(m_mutex);
+  m_vms = std::move(vms);
+  Rebuild();
+}
+
+Duration FleetStore::DistanceTo(const VmRecord& vm) const {
+  const DistanceTable& table = m_settings.distance;
+  if (vm.id == m_settings.vm) {
+    return Duration::zero();
+  }
+  if (vm.region != m_settings.region) {
+    return table.other_region;
+  }
+  return vm.data_centre == m_settings.data_centre ? table.same_data_centre
+                                                  : table.same_region;
+}
+
+Candidate FleetStore::MakeCandidate(const Upstream& upstream,
+                                    const VmRecord& vm) {
+  const bool first_view = Load()->services.empty();
+  auto& state = m_states[KeyOf(upstream, vm)];
+  if (state == nullptr) {
+    state = std::make_shared<UpstreamState>(Clock::now(), !first_view);
+  }
+  if (vm.leaving) {
+    state->set_leaving(true);
+  }
+  return {state, DistanceTo(vm)};
+}
+
+void FleetStore::Rebuild() {
+  auto view = std::make_shared<FleetView>();
+  view->config = m_config;
+  view->vms = m_vms;
+  if (m_config == nullptr || m_vms == nullptr) {
+    m_view.store(std::move(view), std::memory_order_release);
+    return;
+  }
+  std::map<std::string, std::shared_ptr<UpstreamState>> used;
+  for (const auto& [name, service] : m_config->services) {
+    auto& retries = m_retries[name];
+    if (retries == nullptr) {
+      retries = std::make_shared<RetryBudget>();
+    }
+    view->services[name] = {service, {}, {}, retries};
+  }
+  for (const auto& [name, upstream] : m_config->upstreams) {
+    const VmRecord* vm = FindVm(*m_vms, upstream.vm);
+    if (vm == nullptr) {
+      continue;
+    }
+    ServiceView& service = view->services[upstream.service];
+    Candidate candidate = MakeCandidate(upstream, *vm);
+    used[KeyOf(upstream, *vm)] = candidate.state;
+    service.candidates.push_back(std::move(candidate));
+    service.members.push_back(
+        {name,
+         vm->id,
+         {boost::asio::ip::make_address(vm->ip), vm->inner_port}});
+  }
+  m_states = std::move(used);
+  m_view.store(std::move(view), std::memory_order_release);
+}
+
+JsonValue FleetStore::BalanceToJson(TimePoint now) const {
+  const auto view = Load();
+  const EstimateOptions options;
+  JsonValue::Array rows;
+  for (const auto& [name, service] : view->services) {
+    for (std::size_t i = 0; i < service.members.size(); ++i) {
+      const UpstreamState& state = *service.candidates[i].state;
+      const Duration age = state.ReportAge(now);
+      const std::int64_t age_us =
+          age == Duration::max()
+              ? -1
+              : std::chrono::duration_cast<std::chrono::microseconds>(age)
+                    .count();
+      rows.push_back(JsonValue::Object{
+          {"service", name},
+          {"upstream", service.members[i].upstream},
+          {"vm", service.members[i].vm},
+          {"leaving", state.leaving()},
+          {"own_in_flight", state.own_in_flight()},
+          {"reported_in_flight", state.reported_total()},
+          {"report_age_us", age_us},
+          {"service_us", state.service_us()},
+          {"failures", state.Failures(now, options)},
+          {"cost_us",
+           std::int64_t{std::chrono::duration_cast<std::chrono::microseconds>(
+                            state.EstimateCost(now, 0, options))
+                            .count()}}});
+    }
+  }
+  return rows;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/fleet_view.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "node/settings.h"
+#include "platform/published.h"
+#include "yuccamast/balance/policy.h"
+#include "yuccamast/balance/retry_budget.h"
+#include "yuccamast/config/configuration.h"
+
+/// \file fleet_view.h
+/// What a call needs to know of the world, as one immutable snapshot.
+///
+/// The control thread builds a new `FleetView` when the configuration or the
+/// set of VMs changes and publishes it by read-copy-update. A call loads the
+/// snapshot once and keeps it to its end, so the rule that matched it governs
+/// it throughout. Balance states are shared between snapshots.
+
+namespace yuccamast {
+
+/// One upstream of a service with the address of the node beside it.
+struct ServiceMember {
+  std::string upstream;
+  std::string vm;
+  boost::asio::ip::tcp::endpoint node;
+};
+
+/// A service with its upstreams. `members[i]` belongs to `candidates[i]`.
+struct ServiceView {
+  Service service;
+  std::vector<ServiceMember> members;
+  std::vector<Candidate> candidates;
+  std::shared_ptr<RetryBudget> retries;
+};
+
+struct FleetView {
+  std::shared_ptr<const Configuration> config;
+  std::shared_ptr<const VmList> vms;
+  std::map<std::string, ServiceView, std::less<>> services;
+};
+
+/// Publishes snapshots. `Load` is thread-safe and wait-free for practical
+/// purposes; the other methods may be called from any thread and take a lock.
+class FleetStore {
+ public:
+  explicit FleetStore(const NodeSettings& settings);
+
+  std::shared_ptr<const FleetView> Load() const {
+    return m_view.load(std::memory_order_acquire);
+  }
+
+  void SetConfig(std::shared_ptr<const Configuration> config);
+  void SetVms(std::shared_ptr<const VmList> vms);
+
+  /// All balance states by name of the upstream, for the dump.
+  JsonValue BalanceToJson(TimePoint now) const;
+
+ private:
+  void Rebuild();
+  Candidate MakeCandidate(const Upstream& upstream, const VmRecord& vm);
+  Duration DistanceTo(const VmRecord& vm) const;
+
+  const NodeSettings& m_settings;
+  std::atomic<std::shared_ptr<const FleetView>> m_view;
+  std::mutex m_mutex;  ///< Guards the members below and rebuilding.
+  std::shared_ptr<const Configuration> m_config;
+  std::shared_ptr<const VmList> m_vms;
+  std::map<std::string, std::shared_ptr<UpstreamState>> m_states;
+  std::map<std::string, std::shared_ptr<RetryBudget>> m_retries;
+};
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/node.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "node/entry_worker.h"
+#include "node/exit_face.h"
+#include "node/settings.h"
+#include "platform/control_server.h"
+#include "platform/watcher.h"
+#include "yuccamast/config/config_keeper.h"
+
+/// \file node.h
+/// One node: both faces, the control thread and the operators' address.
+///
+/// Threads: `entry_threads` workers, one exit thread, the control thread (the
+/// one that calls `Run`), two that read the platform, and those of the control
+/// server. Only the first two kinds carry calls, and none of them blocks.
+
+namespace yuccamast {
+
+/// Runs from `Run` until a planned stop is over.
+class Node {
+ public:
+  explicit Node(NodeSettings settings);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Serves until SIGTERM or SIGINT and the planned stop that follows.
+  /// Returns the exit code of the process: 0 if no call was cut.
+  int Run();
+
+ private:
+  enum class StopPhase : std::uint8_t {
+    kServing,
+    kAnnouncing,
+    kDraining,
+    kOver
+  };
+
+  void StartFaces();
+  void ArmSignals();
+  void BeginStop();
+  void BeginDrain();
+  void CheckDrained();
+  void FinishStop(bool overrun);
+  void LogCallsLeft();
+  bool RunOnExit(std::function<void()> work);
+  void OnConfig(const PublishedConfig& config);
+  void OnVms(VmList list);
+  ControlReply OnControl(const std::string& path);
+  JsonValue Dump();
+  JsonValue ConfigToJson();
+
+  const NodeSettings m_settings;
+  const std::uint64_t m_boot_id;
+  const TimePoint m_started_at;
+  Metrics m_metrics;
+  MemoryBudget m_budget;
+  FleetStore m_store;
+  EntryShared m_entry;
+  std::vector<std::unique_ptr<EntryWorker>> m_workers;
+  asio::io_context m_exit_io;
+  std::unique_ptr<ExitFace> m_exit;
+  std::thread m_exit_thread;
+  asio::io_context m_control_io;
+  asio::signal_set m_signals;
+  asio::steady_timer m_stop_timer;
+  std::mutex m_config_mutex;  ///< Guards the keeper and the VM list's history.
+  ConfigKeeper m_keeper;
+  std::size_t m_vm_refusals = 0;
+  std::unique_ptr<PlatformWatcher> m_watcher;
+  std::unique_ptr<ControlServer> m_control;
+  std::atomic<StopPhase> m_phase{StopPhase::kServing};
+  TimePoint m_stop_deadline;
+  bool m_overrun = false;
+};
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/settings.cpp
@@ -0,0 +1,189 @@
+#include "node/settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace yuccamast {
+
+namespace {
+
+constexpr IntRange kPortRange{1, 65'535};
+constexpr IntRange kThreadRange{1, 64};
+constexpr IntRange kDepthRange{1, 64};
+constexpr IntRange kBytesRange{1024, 1LL << 30};
+constexpr IntRange kCountRange{1, 1'000'000};
+constexpr IntRange kMillisRange{1, 3'600'000};
+constexpr IntRange kMicrosRange{0, 10'000'000};
+
+std::uint16_t ReadPort(ObjectReader& reader, std::string_view key) {
+  return static_cast<std::uint16_t>(reader.Int(key, kPortRange, std::nullopt));
+}
+
+std::string ReadIp(ObjectReader& reader,
+                   std::string_view key,
+                   std::optional<std::string> otherwise) {
+  const std::string text = reader.String(key, std::move(otherwise));
+  boost::system::error_code bad;
+  boost::asio::ip::make_address(text, bad);
+  if (bad) {
+    reader.Report(key, FieldFault::kOutOfRange);
+  }
+  return text;
+}
+
+std::size_t ReadSize(ObjectReader& reader,
+                     std::string_view key,
+                     std::size_t otherwise) {
+  return static_cast<std::size_t>(
+      reader.Int(key, kBytesRange, static_cast<std::int64_t>(otherwise)));
+}
+
+Duration ReadMillis(ObjectReader& reader,
+                    std::string_view key,
+                    Duration otherwise) {
+  return reader.Millis(
+      key, kMillisRange,
+      std::chrono::duration_cast<std::chrono::milliseconds>(otherwise).count());
+}
+
+Duration ReadMicros(ObjectReader& reader,
+                    std::string_view key,
+                    Duration otherwise) {
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(otherwise).count();
+  return std::chrono::microseconds(reader.Int(key, kMicrosRange, micros));
+}
+
+/// Reads the object `key`, if present, with `read`.
+template <typename Read>
+void ReadGroup(ObjectReader& parent,
+               std::string_view key,
+               std::vector<FieldError>* errors,
+               Read read) {
+  const JsonValue* value = parent.Get(key);
+  if (value == nullptr) {
+    return;
+  }
+  ObjectReader reader(*value, std::string(key) + ".", errors);
+  read(reader);
+  reader.Finish();
+}
+
+void ReadUpstream(ObjectReader& reader, NodeSettings& settings) {
+  settings.upstream = reader.String("name", std::nullopt);
+  settings.upstream_ip = ReadIp(reader, "ip", settings.ip);
+  settings.upstream_port = ReadPort(reader, "port");
+  UpstreamLimits& limits = settings.upstream_limits;
+  limits.max_connections = static_cast<std::size_t>(
+      reader.Int("max_connections", kCountRange,
+                 static_cast<std::int64_t>(limits.max_connections)));
+  limits.max_reply_bytes =
+      ReadSize(reader, "max_reply_bytes", limits.max_reply_bytes);
+  limits.connect_timeout =
+      ReadMillis(reader, "connect_timeout_ms", limits.connect_timeout);
+  limits.keep_idle = ReadMillis(reader, "keep_idle_ms", limits.keep_idle);
+  limits.proven_alive =
+      ReadMillis(reader, "proven_alive_ms", limits.proven_alive);
+}
+
+void ReadCaller(ObjectReader& reader, CallerLimits& limits) {
+  limits.max_head_bytes =
+      ReadSize(reader, "max_head_bytes", limits.max_head_bytes);
+  limits.max_body_bytes =
+      ReadSize(reader, "max_body_bytes", limits.max_body_bytes);
+  limits.head_timeout =
+      ReadMillis(reader, "head_timeout_ms", limits.head_timeout);
+  limits.body_timeout =
+      ReadMillis(reader, "body_timeout_ms", limits.body_timeout);
+  limits.idle_timeout =
+      ReadMillis(reader, "idle_timeout_ms", limits.idle_timeout);
+  limits.write_timeout =
+      ReadMillis(reader, "write_timeout_ms", limits.write_timeout);
+  limits.max_connections = static_cast<std::size_t>(
+      reader.Int("max_connections", kCountRange,
+                 static_cast<std::int64_t>(limits.max_connections)));
+}
+
+void ReadLink(ObjectReader& reader, LinkOptions& link) {
+  link.ping_idle = ReadMillis(reader, "ping_idle_ms", link.ping_idle);
+  link.ping_busy = ReadMillis(reader, "ping_busy_ms", link.ping_busy);
+  link.silence_floor =
+      ReadMillis(reader, "silence_floor_ms", link.silence_floor);
+  link.connect_timeout =
+      ReadMillis(reader, "connect_timeout_ms", link.connect_timeout);
+  link.dead_after = ReadMillis(reader, "dead_after_ms", link.dead_after);
+}
+
+void ReadPlatform(ObjectReader& reader, NodeSettings& settings) {
+  settings.config_service.ip = ReadIp(reader, "config_ip", std::nullopt);
+  settings.config_service.port = ReadPort(reader, "config_port");
+  settings.vm_list.ip =
+      ReadIp(reader, "vm_list_ip", settings.config_service.ip);
+  settings.vm_list.port = static_cast<std::uint16_t>(
+      reader.Int("vm_list_port", kPortRange, settings.config_service.port));
+}
+
+void ReadGroups(ObjectReader& reader,
+                std::vector<FieldError>* errors,
+                NodeSettings& settings) {
+  ReadGroup(reader, "upstream", errors,
+            [&](ObjectReader& group) { ReadUpstream(group, settings); });
+  ReadGroup(reader, "caller", errors,
+            [&](ObjectReader& group) { ReadCaller(group, settings.caller); });
+  ReadGroup(reader, "link", errors,
+            [&](ObjectReader& group) { ReadLink(group, settings.link); });
+  ReadGroup(reader, "stop", errors, [&](ObjectReader& group) {
+    settings.stop.announce =
+        ReadMillis(group, "announce_ms", settings.stop.announce);
+    settings.stop.drain = ReadMillis(group, "drain_ms", settings.stop.drain);
+  });
+  ReadGroup(reader, "distance", errors, [&](ObjectReader& group) {
+    DistanceTable& table = settings.distance;
+    table.same_data_centre =
+        ReadMicros(group, "same_data_centre_us", table.same_data_centre);
+    table.same_region = ReadMicros(group, "same_region_us", table.same_region);
+    table.other_region =
+        ReadMicros(group, "other_region_us", table.other_region);
+  });
+  if (reader.Get("platform") == nullptr) {
+    reader.Report("platform", FieldFault::kMissing);
+  }
+  ReadGroup(reader, "platform", errors,
+            [&](ObjectReader& group) { ReadPlatform(group, settings); });
+}
+
+}  // namespace
+
+Result<NodeSettings, SettingsError> ParseSettings(std::string_view text) {
+  const auto json = ParseJson(text);
+  if (!json) {
+    return SettingsError{
+        std::string(NameOf(json.error().fault)) + ": " + json.error().detail,
+        {}};
+  }
+  std::vector<FieldError> errors;
+  ObjectReader reader(json.value(), "", &errors);
+  NodeSettings settings;
+  settings.vm = reader.String("vm", std::nullopt);
+  settings.ip = ReadIp(reader, "ip", std::nullopt);
+  settings.data_centre = reader.String("data_centre", std::nullopt);
+  settings.region = reader.String("region", "");
+  settings.caller_port = ReadPort(reader, "caller_port");
+  settings.inner_port = ReadPort(reader, "inner_port");
+  settings.control_port = ReadPort(reader, "control_port");
+  settings.entry_threads = static_cast<std::uint32_t>(
+      reader.Int("entry_threads", kThreadRange, settings.entry_threads));
+  settings.max_depth = static_cast<std::uint32_t>(
+      reader.Int("max_depth", kDepthRange, settings.max_depth));
+  settings.memory_bytes =
+      ReadSize(reader, "memory_bytes", settings.memory_bytes);
+  settings.log_level =
+      reader.Name<LogLevel>("log_level", LogLevelFromName, settings.log_level);
+  ReadGroups(reader, &errors, settings);
+  reader.Finish();
+  if (!errors.empty()) {
+    return SettingsError{"fields", errors};
+  }
+  return settings;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/settings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/caller_connection.h"
+#include "http/upstream_pool.h"
+#include "json/object_reader.h"
+#include "link/session.h"
+#include "log/log.h"
+#include "yuccamast/result.h"
+
+/// \file settings.h
+/// The settings file of one node. docs/OPERATORS.md describes every key.
+
+namespace yuccamast {
+
+/// An address of one of the platform's services.
+struct PlatformAddress {
+  std::string ip;
+  std::uint16_t port = 0;
+};
+
+/// Bounds of a planned stop.
+struct StopLimits {
+  Duration announce = std::chrono::milliseconds(2000);  ///< Still answering.
+  Duration drain = std::chrono::seconds(30);  ///< For calls in flight.
+};
+
+/// Round trips assumed until a connection has measured its own.
+struct DistanceTable {
+  Duration same_data_centre = std::chrono::microseconds(300);
+  Duration same_region = std::chrono::milliseconds(3);
+  Duration other_region = std::chrono::milliseconds(60);
+};
+
+struct NodeSettings {
+  std::string vm;
+  std::string ip;
+  std::string data_centre;
+  std::string region;
+  std::uint16_t caller_port = 0;
+  std::uint16_t inner_port = 0;
+  std::uint16_t control_port = 0;
+  std::string upstream;  ///< Name in the configuration; empty if none.
+  std::string upstream_ip;
+  std::uint16_t upstream_port = 0;
+  PlatformAddress config_service;
+  PlatformAddress vm_list;
+  std::uint32_t entry_threads = 2;
+  std::uint32_t max_depth = 16;
+  std::size_t memory_bytes = 64U << 20U;
+  LogLevel log_level = LogLevel::kInfo;
+  CallerLimits caller;
+  UpstreamLimits upstream_limits;
+  LinkOptions link;
+  StopLimits stop;
+  DistanceTable distance;
+};
+
+/// Why settings are refused: a JSON error or a list of fields.
+struct SettingsError {
+  std::string detail;
+  std::vector<FieldError> fields;
+};
+
+/// Parses and checks the text of a settings file. Thread-safe.
+Result<NodeSettings, SettingsError> ParseSettings(std::string_view text);
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/outcome/refusal.cpp
@@ -0,0 +1,57 @@
+#include "yuccamast/outcome/refusal.h"
+
+namespace yuccamast {
+
+namespace {
+constexpr RunClaim kNot = RunClaim::kNotRun;
+constexpr RunClaim kMaybe = RunClaim::kUnknown;
+using R = RefusalReason;
+}  // namespace
+
+const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable = {{
+    {R::kBadRequest, "bad_request", 400, kNot, false, false},
+    {R::kAmbiguousPath, "ambiguous_path", 400, kNot, false, false},
+    {R::kHeadTooLarge, "head_too_large", 431, kNot, false, false},
+    {R::kBodyTooLarge, "body_too_large", 413, kNot, false, false},
+    {R::kRequestTimeout, "request_timeout", 408, kNot, false, false},
+    {R::kNoRule, "no_rule", 404, kNot, false, false},
+    {R::kNoConfiguration, "no_configuration", 503, kNot, true, false},
+    {R::kNoUpstream, "no_upstream", 503, kNot, true, false},
+    {R::kPeerUnreachable, "peer_unreachable", 503, kNot, true, true},
+    {R::kPeerLost, "peer_lost", 502, kMaybe, false, false},
+    {R::kQueueFull, "queue_full", 503, kNot, true, true},
+    {R::kQueueTimeout, "queue_timeout", 503, kNot, true, true},
+    {R::kLeaving, "leaving", 503, kNot, true, true},
+    {R::kPaused, "paused", 503, kNot, true, true},
+    {R::kMemoryFull, "memory_full", 503, kNot, true, true},
+    {R::kDepthExceeded, "depth_exceeded", 508, kNot, false, false},
+    {R::kUnsupported, "unsupported", 501, kNot, false, false},
+    {R::kStaleOffer, "stale_offer", 502, kMaybe, false, false},
+    {R::kDeadlineNotRun, "deadline_not_run", 504, kNot, true, false},
+    {R::kDeadlineUnknown, "deadline_unknown", 504, kMaybe, false, false},
+    {R::kUpstreamUnreachable, "upstream_unreachable", 503, kNot, true, true},
+    {R::kUpstreamLost, "upstream_lost", 502, kMaybe, false, false},
+    {R::kReplyIncomplete, "reply_incomplete", 502, kMaybe, false, false},
+    {R::kReplyTooLarge, "reply_too_large", 502, kMaybe, false, false},
+    {R::kCancelled, "cancelled", 499, kNot, false, false},
+    {R::kWrongUpstream, "wrong_upstream", 503, kNot, true, true},
+    {R::kUpstreamShed, "upstream_shed", 503, kNot, true, true},
+    {R::kTooManyConnections, "too_many_connections", 503, kNot, true, false},
+}};
+
+const RefusalInfo& InfoOf(RefusalReason reason) {
+  return kRefusalTable.at(static_cast<std::size_t>(reason));
+}
+
+std::optional<RefusalReason> RefusalFromValue(std::uint8_t value) {
+  if (value >= kRefusalReasonCount) {
+    return std::nullopt;
+  }
+  return static_cast<RefusalReason>(value);
+}
+
+std::string_view NameOf(RunClaim claim) {
+  return claim == RunClaim::kNotRun ? "not-run" : "unknown";
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/platform/watcher.cpp
@@ -0,0 +1,187 @@
+#include "platform/watcher.h"
+
+#include <chrono>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "log/log.h"
+#include "platform/http_fetch.h"
+
+namespace yuccamast {
+
+namespace {
+
+using Millis = std::chrono::milliseconds;
+
+constexpr Millis kWatchWait{10'000};
+constexpr Millis kReadTimeout{2'000};
+constexpr Millis kVmListPeriod{2'000};
+constexpr Millis kFaultPause{1'000};
+constexpr Millis kIdlePause{100};
+
+}  // namespace
+
+struct PlatformWatcher::Shared {
+  Shared(const NodeSettings& settings, Metrics& m, WatcherHooks h)
+      : config_address(settings.config_service),
+        vm_address(settings.vm_list),
+        metrics(m),
+        hooks(std::move(h)) {}
+
+  const PlatformAddress config_address;
+  const PlatformAddress vm_address;
+  std::mutex mutex;  ///< Guards `stopped` against a hook that is running.
+  bool stopped = false;
+  Metrics& metrics;
+  WatcherHooks hooks;
+  std::atomic<bool> config_ok{false};
+  std::atomic<bool> vms_ok{false};
+
+  /// Runs `work` unless stopped. False if stopped.
+  template <typename Work>
+  bool Guarded(Work work) {
+    const std::lock_guard lock(mutex);
+    if (stopped) {
+      return false;
+    }
+    work();
+    return true;
+  }
+};
+
+namespace {
+
+/// Sleeps between half of and the whole `duration`, so that the readers of a
+/// service that comes back do not come all at once.
+void SleepSpread(Millis duration, std::mt19937& random) {
+  std::uniform_int_distribution<long> spread(duration.count() / 2,
+                                             duration.count());
+  std::this_thread::sleep_for(Millis(spread(random)));
+}
+
+void SetReachable(std::atomic<bool>& flag, bool ok, std::string_view service) {
+  if (flag.exchange(ok) != ok) {
+    Log(ok ? LogLevel::kInfo : LogLevel::kWarning,
+        ok ? LogEvent::kPlatformReachable : LogEvent::kPlatformUnreachable,
+        {{"service", service}});
+  }
+}
+
+}  // namespace
+
+/// Loops of the two threads.
+struct WatcherLoops {
+  using Shared = PlatformWatcher::Shared;
+
+  static void Config(const std::shared_ptr<Shared>& shared) {
+    HttpFetcher fetcher(shared->config_address.ip, shared->config_address.port);
+    std::mt19937 random{std::random_device{}()};
+    while (true) {
+      bool read = false;
+      std::uint64_t revision = 0;
+      const bool alive = shared->Guarded([&] {
+        read = shared->hooks.should_read();
+        revision = shared->hooks.revision();
+        if (read) {
+          shared->metrics.Add(Counter::kConfigReads);
+        }
+      });
+      if (!alive) {
+        return;
+      }
+      if (!read) {
+        std::this_thread::sleep_for(kIdlePause);
+        continue;
+      }
+      const std::string path = "/v1/config?after=" + std::to_string(revision) +
+                               "&wait_ms=" + std::to_string(kWatchWait.count());
+      if (!ReadConfig(*shared, fetcher, path)) {
+        SleepSpread(kFaultPause, random);
+      }
+    }
+  }
+
+  static bool ReadConfig(Shared& shared,
+                         HttpFetcher& fetcher,
+                         const std::string& path) {
+    const auto text = fetcher.Get(path, kWatchWait + kReadTimeout);
+    SetReachable(shared.config_ok, static_cast<bool>(text), "config");
+    if (!text) {
+      return false;
+    }
+    if (text.value().empty()) {
+      return true;  // Nothing newer within the wait.
+    }
+    auto config = ParsePublishedConfig(text.value());
+    if (!config) {
+      Log(LogLevel::kWarning, LogEvent::kConfigRefused,
+          {{"detail", config.error().detail}});
+      return false;
+    }
+    shared.Guarded([&] { shared.hooks.on_config(std::move(config.value())); });
+    return true;
+  }
+
+  static void Vms(const std::shared_ptr<Shared>& shared) {
+    HttpFetcher fetcher(shared->vm_address.ip, shared->vm_address.port);
+    std::mt19937 random{std::random_device{}()};
+    while (true) {
+      bool read = false;
+      const bool alive = shared->Guarded([&] {
+        read = shared->hooks.should_read();
+        if (read) {
+          shared->metrics.Add(Counter::kVmListReads);
+        }
+      });
+      if (!alive) {
+        return;
+      }
+      if (!read) {
+        std::this_thread::sleep_for(kIdlePause);
+        continue;
+      }
+      const bool ok = ReadVms(*shared, fetcher);
+      SleepSpread(ok ? kVmListPeriod : kFaultPause, random);
+    }
+  }
+
+  static bool ReadVms(Shared& shared, HttpFetcher& fetcher) {
+    const auto text = fetcher.Get("/v1/vms", kReadTimeout);
+    SetReachable(shared.vms_ok, static_cast<bool>(text), "vm_list");
+    if (!text) {
+      return false;
+    }
+    auto list = ParseVmList(text.value());
+    if (!list) {
+      Log(LogLevel::kWarning, LogEvent::kVmListRefused,
+          {{"detail", list.error().detail}});
+      return false;
+    }
+    shared.Guarded([&] { shared.hooks.on_vms(std::move(list.value())); });
+    return true;
+  }
+};
+
+PlatformWatcher::PlatformWatcher(const NodeSettings& settings,
+                                 Metrics& metrics,
+                                 WatcherHooks hooks)
+    : m_shared(std::make_shared<Shared>(settings, metrics, std::move(hooks))) {
+  std::thread([shared = m_shared] { WatcherLoops::Config(shared); }).detach();
+  std::thread([shared = m_shared] { WatcherLoops::Vms(shared); }).detach();
+}
+
+PlatformWatcher::~PlatformWatcher() {
+  const std::lock_guard lock(m_shared->mutex);
+  m_shared->stopped = true;
+}
+
+bool PlatformWatcher::config_reachable() const {
+  return m_shared->config_ok;
+}
+
+bool PlatformWatcher::vm_list_reachable() const {
+  return m_shared->vms_ok;
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/yuccamast/main.cpp
@@ -0,0 +1,54 @@
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string_view>
+
+#include "commands.h"
+#include "yuccamast/version.h"
+
+namespace {
+
+using yuccamast::RunCheck;
+using yuccamast::RunDump;
+using yuccamast::RunNode;
+
+struct Command {
+  std::string_view name;
+  std::string_view help;
+  int (*run)(int argc, char** argv);
+};
+
+constexpr std::array<Command, 3> kCommands = {{
+    {"node", "Run the process beside an upstream.", RunNode},
+    {"check", "Merge and check a configuration folder.", RunCheck},
+    {"dump", "Print the whole state of a node as JSON.", RunDump},
+}};
+
+int PrintHelp(std::ostream& out) {
+  out << "Usage: yuccamast COMMAND [OPTIONS]\n\nCommands:\n";
+  std::ranges::for_each(kCommands, [&](const Command& command) {
+    out << "  " << command.name << std::string(10 - command.name.size(), ' ')
+        << command.help << "\n";
+  });
+  out << "\nEach command has --help and --version.\n";
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string_view name = argc > 1 ? argv[1] : "";
+  if (name == "--help" || name == "-h") {
+    return PrintHelp(std::cout);
+  }
+  if (name == "--version") {
+    std::cout << "yuccamast " << yuccamast::kVersion << "\n";
+    return 0;
+  }
+  const auto command = std::ranges::find(kCommands, name, &Command::name);
+  if (command == kCommands.end()) {
+    PrintHelp(std::cerr);
+    return yuccamast::kUsageError;
+  }
+  return command->run(argc - 1, argv + 1);
+}
