Test bad input, the promises about runs, and measure the latency added

Cause: the path ran, but nothing showed what it does with hostile callers, failing upstreams and stops. Found by the tests: the stream's own timeout closed a slow caller's socket before its 408; a decayed failure still decided ties between upstreams; a duplicate VM was reported against the older file. Change: unit tests beside each package, system tests with real processes, own read timer, a floor under which failures are forgotten, errors at the entry touched last; lint with package dependencies; exit split into face and calls.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libmsgpack-cxx-dev libnghttp2-dev libxxhash-dev libbenchmark-dev
 APT = $(if $(filter 0,$(shell id -u)),,sudo )apt-get
 
-.PHONY: help deps build demo
+.PHONY: help deps build demo test lint embed sanitize bench-latency
 
 help:
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -21,3 +21,26 @@
 
 demo: build ## run a small Khuree on loopback
 	@$(BUILD)/testsuite/demo
+
+test: build lint embed ## run every test, formatter, linter and the example
+	@cd $(BUILD) && ctest --output-on-failure
+
+lint: build ## check format, lint, package dependencies and file sizes
+	@etc/lint.sh $(BUILD)
+
+embed: build ## install to out/ and build the example against it
+	@cmake --install $(BUILD) --prefix out/install >/dev/null
+	@cmake -S examples/embed -B out/embed \
+	  -DCMAKE_PREFIX_PATH=$(CURDIR)/out/install >/dev/null
+	@cmake --build out/embed >/dev/null
+	@out/embed/embed
+
+sanitize: deps ## run the tests under sanitizers
+	@for kind in address,undefined thread; do \
+	  cmake -S . -B build-$$kind -DCMAKE_BUILD_TYPE=Debug \
+	    -DYUCCAMAST_SANITIZE=$$kind >/dev/null && \
+	  cmake --build build-$$kind -j$(JOBS) && \
+	  (cd build-$$kind && ctest --output-on-failure) || exit 1; done
+
+bench-latency: build ## latency that two nodes add, paired with direct calls
+	@$(BUILD)/testsuite/latency
--- /dev/null
+++ b/etc/lint.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Checks format, lint, package dependencies and file sizes.
+# Usage: etc/lint.sh BUILD_FOLDER
+set -u
+build=$1
+failed=0
+sources=$(git ls-files --cached --others --exclude-standard '*.cpp' '*.h')
+
+clang-format --dry-run -Werror $sources || failed=1
+
+# Each package may include only the packages named here (docs/DESIGN.md).
+allowed() {
+  case $1 in
+    json) echo "json" ;;
+    config) echo "config json" ;;
+    outcome) echo "outcome" ;;
+    balance) echo "balance config" ;;
+    admission) echo "admission config outcome" ;;
+    membership) echo "membership" ;;
+    log) echo "log" ;;
+    metrics) echo "metrics outcome" ;;
+    link) echo "link balance" ;;
+    http) echo "http link log metrics outcome" ;;
+    platform) echo "platform config json log metrics node" ;;
+    node) echo "node admission balance config http json link log membership metrics outcome platform" ;;
+  esac
+}
+for file in $sources; do
+  case $file in
+    *_test.cpp) continue ;;
+    src/libyuccamast/*/*) package=${file#src/libyuccamast/} ;;
+    include/yuccamast/*/*) package=${file#include/yuccamast/} ;;
+    *) continue ;;
+  esac
+  package=${package%%/*}
+  for target in $(sed -nE 's|^#include "(yuccamast/)?([a-z]+)/.*|\2|p' "$file"); do
+    [ "$target" = yuccamast ] && continue
+    if ! grep -qw "$target" <<<"$(allowed "$package")"; then
+      echo "$file: package $package may not include package $target"
+      failed=1
+    fi
+  done
+done
+
+for file in $sources; do
+  lines=$(wc -l <"$file")
+  if [ "$lines" -gt 500 ]; then
+    echo "$file: $lines lines, more than 500"
+    failed=1
+  fi
+done
+
+printf '%s\n' $sources | grep '\.cpp$' | grep -vE '_test\.cpp$|^examples/' |
+  xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build" \
+    >"$build/lint.log" 2>/dev/null || { cat "$build/lint.log"; failed=1; }
+
+[ "$failed" -eq 0 ] && echo "lint: clean"
+exit "$failed"
--- a/include/yuccamast/json_value.h
+++ b/include/yuccamast/json_value.h
@@ -22,8 +22,15 @@
 
 class JsonValue;
 
-/// One key of an object with its value.
-struct JsonMember;
+/// One key of an object with its value. A template only so that it can be
+/// named before `JsonValue` is complete; use `JsonMember`.
+template <typename Value>
+struct JsonMemberOf {
+  std::string key;
+  Value value;
+};
+
+using JsonMember = JsonMemberOf<JsonValue>;
 
 /// A JSON value. A regular type; concurrent reads are safe.
 class JsonValue {
@@ -76,11 +83,6 @@
       m_value;
 };
 
-struct JsonMember {
-  std::string key;
-  JsonValue value;
-};
-
 /// Why a text is not accepted as JSON.
 enum class JsonFault : std::uint8_t {
   kSyntax,
--- a/src/bench/load.cpp
+++ b/src/bench/load.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -307,7 +308,7 @@
   }
   std::ranges::sort(values);
   const auto index = static_cast<std::size_t>(
-      q * static_cast<double>(values.size() - 1) + 0.5);
+      std::llround(q * static_cast<double>(values.size() - 1)));
   return values[std::min(index, values.size() - 1)];
 }
 
--- /dev/null
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -0,0 +1,183 @@
+#include <criterion/criterion.h>
+
+#include <array>
+#include <random>
+
+#include "yuccamast/balance/policy.h"
+#include "yuccamast/balance/retry_budget.h"
+
+using namespace yuccamast;  // NOLINT
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A service of `count` upstreams whose reports say that they are idle.
+struct Fixture {
+  explicit Fixture(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      candidates.push_back(
+          {std::make_shared<UpstreamState>(now, false), Duration::zero()});
+      Report(i, 0);
+    }
+  }
+
+  void Report(std::size_t index, std::uint32_t running, bool leaving = false) {
+    LoadReport report;
+    report.running = running;
+    report.limit = 10;
+    report.service_us = 5000;
+    report.leaving = leaving;
+    candidates[index].state->OnReport(report, now);
+  }
+
+  std::optional<std::size_t> Pick(
+      PolicyKind kind = PolicyKind::kLeastCost,
+      const std::vector<std::size_t>& excluded = {}) {
+    ChoiceContext context;
+    context.now = now;
+    context.turn = turn++;
+    return Choose(kind, candidates, excluded, context,
+                  [this] { return random(); });
+  }
+
+  /// Share of `draws` choices that fall on `index`.
+  double Share(std::size_t index, int draws = 4000) {
+    int hits = 0;
+    for (int i = 0; i < draws; ++i) {
+      hits += Pick() == index ? 1 : 0;
+    }
+    return static_cast<double>(hits) / draws;
+  }
+
+  TimePoint now{std::chrono::hours(1)};
+  std::uint64_t turn = 0;
+  std::mt19937_64 random{7};
+  std::vector<Candidate> candidates;
+};
+
+constexpr std::array<PolicyKind, 5> kAllPolicies = {
+    PolicyKind::kLeastCost, PolicyKind::kRandom, PolicyKind::kRoundRobin,
+    PolicyKind::kLeastOutstanding, PolicyKind::kRandomTwo};
+
+}  // namespace
+
+Test(policy, none_picks_an_excluded_or_leaving_upstream) {
+  for (const PolicyKind kind : kAllPolicies) {
+    Fixture fixture(4);
+    fixture.Report(2, 0, true);
+    for (int i = 0; i < 200; ++i) {
+      const auto pick = fixture.Pick(kind, {0});
+      cr_assert(pick == 1U || pick == 3U, "%s", NameOf(kind).data());
+    }
+    cr_expect_not(fixture.Pick(kind, {0, 1, 3}).has_value());
+  }
+}
+
+Test(policy, no_candidates_no_choice) {
+  Fixture fixture(0);
+  for (const PolicyKind kind : kAllPolicies) {
+    cr_expect_not(fixture.Pick(kind).has_value());
+  }
+}
+
+Test(policy, own_calls_count_before_any_report_tells) {
+  Fixture fixture(3);
+  for (int i = 0; i < 20; ++i) {
+    fixture.candidates[0].state->OnSent(fixture.now);
+  }
+  cr_expect_lt(fixture.Share(0), 0.01);
+}
+
+Test(policy, an_old_report_fades_to_the_prior_and_not_to_idle) {
+  Fixture fixture(1);
+  UpstreamState& state = *fixture.candidates[0].state;
+  fixture.Report(0, 9);
+  const EstimateOptions options;
+  const Duration fresh = state.EstimateCost(fixture.now, 5.0, options);
+  const Duration old =
+      state.EstimateCost(fixture.now + std::chrono::seconds(10), 5.0, options);
+  fixture.Report(0, 0);
+  const Duration idle = state.EstimateCost(fixture.now, 5.0, options);
+  cr_expect_lt(old.count(), fresh.count());
+  cr_expect_gt(old.count(), idle.count());
+}
+
+Test(policy, fast_failures_repel_and_only_a_trickle_returns) {
+  Fixture fixture(5);
+  for (int i = 0; i < 3; ++i) {
+    fixture.candidates[2].state->OnSent(fixture.now);
+    fixture.candidates[2].state->OnEnd(AttemptEnd::kFailed, milliseconds(0),
+                                       fixture.now, {});
+  }
+  const double share = fixture.Share(2);
+  cr_expect_lt(share, 0.02);
+  cr_expect_gt(share, 0.0);
+  fixture.now += std::chrono::seconds(60);
+  for (std::size_t i = 0; i < 5; ++i) {
+    fixture.Report(i, 0);
+  }
+  cr_expect_gt(fixture.Share(2), 0.1);
+}
+
+Test(policy, when_all_fail_the_load_is_still_spread) {
+  Fixture fixture(4);
+  for (const Candidate& candidate : fixture.candidates) {
+    for (int i = 0; i < 5; ++i) {
+      candidate.state->OnSent(fixture.now);
+      candidate.state->OnEnd(AttemptEnd::kFailed, milliseconds(1), fixture.now,
+                             {});
+    }
+  }
+  for (std::size_t i = 0; i < 4; ++i) {
+    cr_expect_gt(fixture.Share(i), 0.1);
+  }
+}
+
+Test(policy, a_call_without_progress_repels_before_it_completes) {
+  Fixture fixture(3);
+  fixture.candidates[1].state->OnSent(fixture.now);
+  fixture.now += milliseconds(40);  // The usual time is 5 ms.
+  cr_expect_lt(fixture.Share(1), 0.02);
+}
+
+Test(policy, a_new_upstream_ramps_up) {
+  Fixture fixture(3);
+  fixture.candidates[0].state =
+      std::make_shared<UpstreamState>(fixture.now, true);
+  fixture.Report(0, 0);
+  cr_expect_lt(fixture.Share(0), 0.02);
+  fixture.now += std::chrono::seconds(4);
+  for (std::size_t i = 0; i < 3; ++i) {
+    fixture.Report(i, 0);
+  }
+  cr_expect_gt(fixture.Share(0), 0.2);
+}
+
+Test(policy, distance_is_weighed_against_the_queue) {
+  Fixture fixture(2);
+  fixture.candidates[1].distance = milliseconds(3);
+  cr_expect_gt(fixture.Share(0), 0.95);
+  fixture.Report(0, 25);
+  cr_expect_lt(fixture.Share(0), 0.05);
+}
+
+Test(policy, entries_with_the_same_report_do_not_herd) {
+  Fixture fixture(10);
+  for (std::size_t i = 0; i < 10; ++i) {
+    fixture.Report(i, i == 4 ? 0 : 3);
+  }
+  cr_expect_lt(fixture.Share(4), 0.45);
+}
+
+Test(retries, are_bounded_by_share_and_cap) {
+  RetryBudget budget;
+  int retries = 0;
+  constexpr int kFirst = 10'000;
+  for (int i = 0; i < kFirst; ++i) {
+    budget.OnFirstAttempt(0.1);
+    retries += budget.TryRetry() ? 1 : 0;
+    retries += budget.TryRetry() ? 1 : 0;
+  }
+  cr_expect_leq(retries, static_cast<int>(kFirst * 0.1 + RetryBudget::kCap));
+  cr_expect_gt(retries, 900);
+}
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -27,6 +27,9 @@
 /// Age as a multiple of the service time at which a run counts as stalled.
 constexpr double kStallFactor = 3.0;
 
+/// Failures that have decayed below this no longer count at all.
+constexpr double kForgotten = 0.05;
+
 /// Waiting time is bounded so that one estimate cannot overflow the sum.
 constexpr Duration kMaxCost = std::chrono::seconds(60);
 
@@ -78,7 +81,9 @@
     return 0.0;
   }
   const Duration age = now - FromTicks(m_failed_at.load(kRelaxed));
-  return failures * std::exp2(-Ratio(age, options.failure_half_life));
+  const double left =
+      failures * std::exp2(-Ratio(age, options.failure_half_life));
+  return left < kForgotten ? 0.0 : left;
 }
 
 Duration UpstreamState::ReportAge(TimePoint now) const {
--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <map>
-#include <set>
 
 #include "config/rule_table.h"
 #include "json/object_reader.h"
@@ -191,20 +190,23 @@
 }
 
 void ReadSections(Draft& draft, Configuration& result) {
-  for (const auto& [name, entry] : draft.sections["services"]) {
-    ReadEntry(draft, "services", name, entry, [&](ObjectReader& reader) {
-      result.services[name] = ReadService(name, reader);
-    });
+  for (const auto& item : draft.sections["services"]) {
+    ReadEntry(draft, "services", item.first, item.second,
+              [&](ObjectReader& reader) {
+                result.services[item.first] = ReadService(item.first, reader);
+              });
   }
-  for (const auto& [name, entry] : draft.sections["upstreams"]) {
-    ReadEntry(draft, "upstreams", name, entry, [&](ObjectReader& reader) {
-      result.upstreams[name] = ReadUpstream(name, reader);
-    });
+  for (const auto& item : draft.sections["upstreams"]) {
+    ReadEntry(draft, "upstreams", item.first, item.second,
+              [&](ObjectReader& reader) {
+                result.upstreams[item.first] = ReadUpstream(item.first, reader);
+              });
   }
-  for (const auto& [name, entry] : draft.sections["rules"]) {
-    ReadEntry(draft, "rules", name, entry, [&](ObjectReader& reader) {
-      result.rules[name] = ReadRule(name, reader);
-    });
+  for (const auto& item : draft.sections["rules"]) {
+    ReadEntry(draft, "rules", item.first, item.second,
+              [&](ObjectReader& reader) {
+                result.rules[item.first] = ReadRule(item.first, reader);
+              });
   }
 }
 
@@ -221,13 +223,26 @@
          service);
 }
 
+/// Of two entries that contradict each other, the one that was touched last:
+/// there the mistake is to be mended.
+const std::string& LaterOf(Draft& draft,
+                           const std::string& section,
+                           const std::string& first,
+                           const std::string& second) {
+  DraftSection& entries = draft.sections[section];
+  return entries[first].file > entries[second].file ? first : second;
+}
+
 void CheckUpstreams(Draft& draft, const Configuration& result) {
-  std::set<std::string> vms;
+  std::map<std::string, std::string> upstream_of_vm;
   for (const auto& [name, upstream] : result.upstreams) {
     CheckServiceName(draft, result, "upstreams", name, upstream.service);
-    if (!vms.insert(upstream.vm).second) {
-      Report(draft, draft.sections["upstreams"][name].file,
-             "upstreams." + name + ".vm", ConfigFault::kDuplicateVm,
+    const auto [other, is_new] = upstream_of_vm.emplace(upstream.vm, name);
+    if (!is_new) {
+      const std::string& later =
+          LaterOf(draft, "upstreams", other->second, name);
+      Report(draft, draft.sections["upstreams"][later].file,
+             "upstreams." + later + ".vm", ConfigFault::kDuplicateVm,
              upstream.vm);
     }
   }
@@ -259,8 +274,10 @@
     return;
   }
   std::ranges::for_each(FindOverlaps(result.rules), [&](const auto& pair) {
-    Report(draft, draft.sections["rules"][pair.second].file,
-           "rules." + pair.second, ConfigFault::kOverlap, pair.first);
+    const std::string& later = LaterOf(draft, "rules", pair.first, pair.second);
+    Report(draft, draft.sections["rules"][later].file, "rules." + later,
+           ConfigFault::kOverlap,
+           later == pair.first ? pair.second : pair.first);
   });
 }
 
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -38,7 +38,7 @@
                                    Metrics& metrics,
                                    const CallerHooks& hooks)
     : m_stream(std::move(socket)),
-      m_idle_timer(m_stream.get_executor()),
+      m_timer(m_stream.get_executor()),
       m_limits(limits),
       m_metrics(metrics),
       m_hooks(hooks),
@@ -60,8 +60,8 @@
   }
   // An idle connection holds no buffer: only readiness is waited for.
   m_buffer = beast::flat_buffer(m_limits.max_head_bytes + kReadChunk);
-  m_idle_timer.expires_after(m_limits.idle_timeout);
-  m_idle_timer.async_wait([self = shared_from_this()](const error_code& error) {
+  m_timer.expires_after(m_limits.idle_timeout);
+  m_timer.async_wait([self = shared_from_this()](const error_code& error) {
     if (!error) {
       self->CloseIfIdle();
     }
@@ -74,7 +74,7 @@
 }
 
 void CallerConnection::OnReadable(const error_code& error) {
-  m_idle_timer.cancel();
+  m_timer.cancel();
   if (error || m_phase != Phase::kIdle) {
     Close();
     return;
@@ -87,7 +87,7 @@
   m_parser.emplace();
   m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_head_bytes));
   m_parser->body_limit(m_limits.max_body_bytes);
-  m_stream.expires_after(m_limits.head_timeout);
+  ArmReadTimer(m_limits.head_timeout);
   http::async_read_header(
       m_stream, m_buffer, *m_parser,
       [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -95,6 +95,17 @@
       });
 }
 
+void CallerConnection::ArmReadTimer(Duration limit) {
+  // The stream's own timeout would close the socket before the refusal.
+  m_timer.expires_after(limit);
+  m_timer.async_wait([self = shared_from_this()](const error_code& error) {
+    if (!error && self->m_phase == Phase::kReading) {
+      self->m_timed_out = true;
+      self->m_stream.cancel();
+    }
+  });
+}
+
 std::optional<RefusalReason> CallerConnection::CheckHead() const {
   const auto& request = m_parser->get();
   const beast::string_view target = request.target();
@@ -174,7 +185,7 @@
     OnBody({});
     return;
   }
-  m_stream.expires_after(m_limits.body_timeout);
+  ArmReadTimer(m_limits.body_timeout);
   http::async_read_some(
       m_stream, m_buffer, *m_parser,
       [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -203,6 +214,7 @@
 
 void CallerConnection::RunCall() {
   m_phase = Phase::kRunning;
+  m_timer.cancel();
   m_stream.expires_never();
   auto message = m_parser->release();
   m_parser.reset();
@@ -333,13 +345,13 @@
 }
 
 void CallerConnection::RefuseParse(const error_code& error) {
-  if (error == http::error::header_limit ||
-      error == http::error::buffer_overflow) {
+  if (m_timed_out) {
+    Refuse(RefusalReason::kRequestTimeout);
+  } else if (error == http::error::header_limit ||
+             error == http::error::buffer_overflow) {
     Refuse(RefusalReason::kHeadTooLarge);
   } else if (IsTooLarge(error)) {
     Refuse(RefusalReason::kBodyTooLarge);
-  } else if (error == beast::error::timeout) {
-    Refuse(RefusalReason::kRequestTimeout);
   } else if (error == http::error::end_of_stream ||
              error == http::error::partial_message ||
              error.category() == boost::asio::error::get_system_category() ||
@@ -363,6 +375,7 @@
 
 void CallerConnection::Write(Response response, bool close) {
   m_phase = Phase::kWriting;
+  m_timer.cancel();
   if (close) {
     response.set(http::field::connection, "close");
   } else if (m_version == 10) {
@@ -428,7 +441,7 @@
   }
   m_phase = Phase::kClosed;
   const auto keep = shared_from_this();
-  m_idle_timer.cancel();
+  m_timer.cancel();
   m_stream.close();
   m_hooks.on_closed(this);
 }
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -112,6 +112,7 @@
 
   void WaitForRequest();
   void OnReadable(const boost::system::error_code& error);
+  void ArmReadTimer(Duration limit);
   void Linger();
   void ReadHead();
   void OnHead(const boost::system::error_code& error);
@@ -132,7 +133,7 @@
   void Close();
 
   boost::beast::tcp_stream m_stream;
-  boost::asio::steady_timer m_idle_timer;
+  boost::asio::steady_timer m_timer;
   const CallerLimits& m_limits;
   Metrics& m_metrics;
   const CallerHooks& m_hooks;
@@ -144,6 +145,7 @@
   Phase m_phase = Phase::kIdle;
   std::size_t m_lingered = 0;
   bool m_keep_alive = true;
+  bool m_timed_out = false;
   bool m_head_request = false;
   unsigned m_version = 11;
 };
--- /dev/null
+++ b/src/libyuccamast/http/fields_test.cpp
@@ -0,0 +1,69 @@
+#include "http/fields.h"
+
+#include <criterion/criterion.h>
+
+#include "log/log.h"
+#include "metrics/metrics.h"
+
+using namespace yuccamast;  // NOLINT
+
+Test(fields, only_end_to_end_fields_travel_on) {
+  const auto kept = EndToEnd({{"Host", "a"},
+                              {"Connection", "keep-alive, X-Hop"},
+                              {"x-hop", "1"},
+                              {"Transfer-Encoding", "chunked"},
+                              {"Yuccamast-Call-Id", "forged"},
+                              {"Yuccamast-Outcome", "not-run"},
+                              {"Accept", "*/*"}});
+  cr_assert_eq(kept.size(), 2U);
+  cr_expect_eq(kept[0].name, "Host");
+  cr_expect_eq(kept[1].name, "Accept");
+}
+
+Test(fields, counts_are_digits_only) {
+  cr_expect_eq(*ParseCount("12"), 12);
+  for (const char* bad : {"", "-1", "+1", "1 ", "0x1", "1234567890123456789"}) {
+    cr_expect_not(ParseCount(bad).has_value(), "%s", bad);
+  }
+}
+
+Test(log, hostile_values_stay_in_their_field) {
+  const std::string line =
+      FormatLine(LogLevel::kInfo, LogEvent::kCallRefused,
+                 {{"target", "/a\nlevel=error x=\"1\"\x1b[0m"}, {"n", 3}});
+  cr_expect_eq(line.find('\n'), std::string::npos);
+  cr_expect_eq(line.find('\x1b'), std::string::npos);
+  cr_expect_eq(line,
+               "level=info event=call_refused "
+               "target=\"/a\\x0alevel=error x=\\\"1\\\"\\x1b[0m\" n=3");
+}
+
+Test(metrics, quantiles_follow_the_samples) {
+  LatencyHistogram histogram;
+  for (int i = 0; i < 99; ++i) {
+    histogram.Record(std::chrono::milliseconds(1));
+  }
+  histogram.Record(std::chrono::seconds(1));
+  cr_expect_eq(histogram.count(), 100U);
+  cr_expect_float_eq(histogram.Quantile(0.5), 0.001, 0.00015);
+  cr_expect_float_eq(histogram.Quantile(1.0), 1.0, 0.15);
+}
+
+Test(metrics, text_page_names_every_counter) {
+  Metrics metrics;
+  metrics.Add(Counter::kCallsReceived, 3);
+  metrics.AddRefusal(RefusalReason::kNoRule);
+  metrics.Record(Latency::kCall, std::chrono::milliseconds(2));
+  const std::string text = metrics.ToText();
+  for (std::size_t i = 0; i < kCounterCount; ++i) {
+    const std::string name(NameOf(static_cast<Counter>(i)));
+    cr_expect_neq(text.find("yuccamast_" + name + "_total "),
+                  std::string::npos);
+  }
+  cr_expect_neq(text.find("yuccamast_calls_received_total 3\n"),
+                std::string::npos);
+  cr_expect_neq(text.find("refusals_total{reason=\"no_rule\",outcome=\"not-"
+                          "run\"} 1"),
+                std::string::npos);
+  cr_expect_neq(text.find("yuccamast_call_seconds_count 1"), std::string::npos);
+}
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -49,7 +49,7 @@
   return connection;
 }
 
-void UpstreamPool::Keep(ConnectionPtr connection) {
+void UpstreamPool::Keep(const ConnectionPtr& connection) {
   connection->used_at = Clock::now();
   connection->stream.expires_never();
   m_idle.push_front(connection);
@@ -69,11 +69,10 @@
 }
 
 void UpstreamPool::Drop(const ConnectionPtr& connection) {
-  const ConnectionPtr keep = connection;
-  ++keep->lease;
-  m_idle.remove(keep);
-  keep->stream.close();
+  ++connection->lease;
+  connection->stream.close();
   --m_open;
+  m_idle.remove(connection);  // May end the referenced pointer's life.
 }
 
 void UpstreamPool::CloseIdle() {
@@ -151,7 +150,7 @@
 void UpstreamRun::Write() {
   if (!m_hooks.start()) {
     m_over = true;
-    m_pool.Keep(std::move(m_connection));
+    m_pool.Keep(m_connection);
     return;
   }
   m_connection->stream.expires_never();
@@ -255,7 +254,7 @@
       m_written && m_parser->keep_alive() && m_connection->buffer.size() == 0;
   auto whole = m_parser->release();
   if (keep) {
-    m_pool.Keep(std::move(m_connection));
+    m_pool.Keep(m_connection);
   } else {
     m_pool.Drop(m_connection);
   }
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -99,7 +99,7 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   ConnectionPtr TakeIdle(bool idempotent);
-  void Keep(ConnectionPtr connection);
+  void Keep(const ConnectionPtr& connection);
   void Watch(const ConnectionPtr& connection);
   void Drop(const ConnectionPtr& connection);
 
--- a/src/libyuccamast/json/object_reader.cpp
+++ b/src/libyuccamast/json/object_reader.cpp
@@ -35,7 +35,7 @@
 }
 
 std::string ObjectReader::String(std::string_view key,
-                                 std::optional<std::string> otherwise) {
+                                 const std::optional<std::string>& otherwise) {
   const JsonValue* value = Get(key);
   if (value == nullptr) {
     if (!otherwise) {
--- a/src/libyuccamast/json/object_reader.h
+++ b/src/libyuccamast/json/object_reader.h
@@ -53,7 +53,7 @@
   const JsonValue* Get(std::string_view key);
 
   std::string String(std::string_view key,
-                     std::optional<std::string> otherwise);
+                     const std::optional<std::string>& otherwise);
   std::int64_t Int(std::string_view key,
                    IntRange range,
                    std::optional<std::int64_t> otherwise);
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -1,6 +1,7 @@
 #include "metrics/metrics.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace yuccamast {
@@ -71,8 +72,8 @@
 }
 
 double LatencyHistogram::Quantile(double q) const {
-  const auto wanted =
-      static_cast<std::uint64_t>(q * static_cast<double>(count()) + 0.5);
+  const auto wanted = static_cast<std::uint64_t>(
+      std::llround(q * static_cast<double>(count())));
   double edge = 0;
   bool found = false;
   ForEachBucket([&](double upper, std::uint64_t cumulative) {
--- /dev/null
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -0,0 +1,475 @@
+#include "node/exit_calls.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "http/fields.h"
+#include "log/log.h"
+
+namespace yuccamast {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(5);
+constexpr Duration kPauseGap = std::chrono::milliseconds(300);
+constexpr Duration kSettle = std::chrono::milliseconds(50);
+
+/// A non-idempotent run whose deadline passed is left to finish this long.
+constexpr Duration kOverrun = std::chrono::seconds(30);
+
+/// Lives of peers' processes whose sequence windows are kept.
+constexpr std::size_t kMaxWindows = 8192;
+
+std::uint64_t Micros(Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+}  // namespace
+
+/// A call that the exit holds, from its admission to its end.
+struct ExitCalls::Call {
+  Call(boost::asio::io_context& io,
+       StreamReply stream_reply,
+       MemoryBudget& budget)
+      : reply(std::move(stream_reply)),
+        memory(budget),
+        deadline_timer(io),
+        life(CallStep::kAdmitted) {}
+
+  CallTicket ticket = 0;
+  std::uint64_t key = 0;
+  OfferMessage offer;
+  StreamReply reply;
+  MemoryShare memory;
+  asio::steady_timer deadline_timer;
+  CallLife life;
+  TimePoint received_at;
+  TimePoint started_at;
+  TimePoint deadline;
+  bool has_slot = false;
+  bool told = false;       ///< The entry has its answer or is gone.
+  bool head_seen = false;  ///< The reply's head was read.
+  std::shared_ptr<UpstreamRun> run;
+};
+
+ExitCalls::ExitCalls(asio::io_context& io,
+                     const NodeSettings& settings,
+                     FleetStore& store,
+                     Metrics& metrics,
+                     MemoryBudget& budget,
+                     std::uint64_t boot_id)
+    : m_io(io),
+      m_settings(settings),
+      m_store(store),
+      m_metrics(metrics),
+      m_budget(budget),
+      m_boot_id(boot_id),
+      m_admission(AdmissionLimits{}),
+      m_tick(io),
+      m_pause(kPauseGap, kSettle, Clock::now()) {
+  if (!settings.upstream.empty()) {
+    m_upstream = std::make_unique<UpstreamPool>(
+        io,
+        tcp::endpoint(asio::ip::make_address(settings.upstream_ip),
+                      settings.upstream_port),
+        settings.upstream_limits, metrics);
+  }
+}
+
+ExitCalls::~ExitCalls() = default;
+
+void ExitCalls::CheckPause(TimePoint now) {
+  const Duration pause = m_pause.Check(now);
+  if (pause == Duration::zero()) {
+    return;
+  }
+  m_metrics.Add(Counter::kPauses);
+  Log(LogLevel::kWarning, LogEvent::kPauseNoticed,
+      {{"face", "exit"}, {"ms", Micros(pause) / 1000}});
+  std::ranges::for_each(m_admission.TakeQueue(), [this](CallTicket ticket) {
+    const CallPtr call = m_calls.at(ticket);
+    RefuseCall(call, RefusalReason::kPaused);
+  });
+}
+
+std::optional<RefusalReason> ExitCalls::CheckOffer(const OfferMessage& offer,
+                                                   TimePoint now) {
+  if (offer.version != kLinkVersion || m_upstream == nullptr ||
+      offer.upstream != m_settings.upstream) {
+    return RefusalReason::kWrongUpstream;
+  }
+  const auto origin = std::pair(offer.origin.vm, offer.origin.boot_id);
+  if (m_windows.size() >= kMaxWindows && !m_windows.contains(origin)) {
+    m_windows.clear();
+  }
+  if (!m_windows[origin].Accept(offer.origin.sequence)) {
+    m_metrics.Add(Counter::kOffersRepeated);
+    return RefusalReason::kStaleOffer;
+  }
+  if (m_leaving) {
+    return RefusalReason::kLeaving;
+  }
+  if (m_pause.Settling(now)) {
+    return RefusalReason::kPaused;
+  }
+  if (offer.depth > m_settings.max_depth) {
+    return RefusalReason::kDepthExceeded;
+  }
+  return std::nullopt;
+}
+
+void ExitCalls::RefreshLimits() {
+  const auto view = m_store.Load();
+  if (view->config == nullptr || view->config == m_limits_from) {
+    return;
+  }
+  m_limits_from = view->config;
+  const auto upstream = view->config->upstreams.find(m_settings.upstream);
+  if (upstream == view->config->upstreams.end()) {
+    return;
+  }
+  const Service& service = view->config->services.at(upstream->second.service);
+  AdmissionLimits limits;
+  limits.slots = upstream->second.slots;
+  limits.short_slots = upstream->second.short_slots;
+  limits.queue_length = service.queue_length;
+  limits.queue_limit = service.queue_limit;
+  m_admission.SetLimits(limits);
+}
+
+void ExitCalls::Offer(const std::string& bytes,
+                      const StreamReply& reply,
+                      std::uint64_t key) {
+  const TimePoint now = Clock::now();
+  CheckPause(now);
+  m_metrics.Add(Counter::kOffersReceived);
+  auto offer = Unpack<OfferMessage>(bytes);
+  if (!offer) {
+    m_metrics.Add(Counter::kControlMessagesRefused);
+    reply.Refuse();
+    return;
+  }
+  if (const auto reason = CheckOffer(*offer, now)) {
+    Log(LogLevel::kDebug, LogEvent::kOfferRefused,
+        {{"call", offer->call_id}, {"reason", InfoOf(*reason).name}});
+    AnswerRefusal(reply, *reason);
+    return;
+  }
+  auto call = std::make_shared<Call>(m_io, reply, m_budget);
+  if (!call->memory.GrowTo(offer->body.size())) {
+    AnswerRefusal(reply, RefusalReason::kMemoryFull);
+    return;
+  }
+  call->ticket = ++m_last_ticket;
+  call->key = key;
+  call->received_at = now;
+  call->deadline = now + std::chrono::microseconds(offer->remaining_us);
+  call->offer = std::move(*offer);
+  Admit(call, now);
+}
+
+void ExitCalls::Admit(const CallPtr& call, TimePoint now) {
+  RefreshLimits();
+  AdmissionRequest request;
+  request.ticket = call->ticket;
+  request.deadline = call->deadline;
+  request.weight =
+      call->offer.long_weight ? WeightClass::kLong : WeightClass::kShort;
+  request.idempotent = call->offer.idempotent;
+  const AdmissionDecision decision = m_admission.Offer(request, now);
+  if (decision.verdict == AdmissionVerdict::kRefused) {
+    Log(LogLevel::kDebug, LogEvent::kOfferRefused,
+        {{"call", call->offer.call_id},
+         {"reason", InfoOf(decision.reason).name}});
+    AnswerRefusal(call->reply, decision.reason);
+    return;
+  }
+  m_metrics.Add(Counter::kOffersAdmitted);
+  m_calls[call->ticket] = call;
+  m_by_key[call->key] = call->ticket;
+  if (decision.verdict == AdmissionVerdict::kStart) {
+    StartRun(call);
+  } else if (m_admission.queued() == 1) {
+    ArmTick();
+  }
+}
+
+UpstreamRequest ExitCalls::BuildRequest(Call& call) const {
+  UpstreamRequest request;
+  request.method = call.offer.method;
+  request.target = call.offer.target;
+  request.fields = std::move(call.offer.fields);
+  request.body = std::move(call.offer.body);
+  request.idempotent = call.offer.idempotent;
+  const auto left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           call.deadline - Clock::now())
+                           .count();
+  request.fields.push_back({std::string(kCallIdField), call.offer.call_id});
+  request.fields.push_back({std::string(kDeadlineField),
+                            std::to_string(std::max<long>(left_ms, 1))});
+  request.fields.push_back(
+      {std::string(kDepthField), std::to_string(call.offer.depth)});
+  if (call.offer.retry) {
+    request.fields.push_back({std::string(kRetryField), "1"});
+  }
+  return request;
+}
+
+void ExitCalls::StartRun(const CallPtr& call) {
+  call->has_slot = true;
+  call->deadline_timer.expires_at(call->deadline);
+  call->deadline_timer.async_wait(
+      [this, call](const boost::system::error_code& error) {
+        if (!error) {
+          OnDeadline(call);
+        }
+      });
+  UpstreamHooks hooks;
+  hooks.start = [this, call] {
+    if (!call->life.TryStart()) {
+      return false;
+    }
+    call->started_at = Clock::now();
+    m_metrics.Add(Counter::kRunsStarted);
+    m_metrics.Record(Latency::kQueue, call->started_at - call->received_at);
+    return true;
+  };
+  hooks.reply_head = [call] { call->head_seen = true; };
+  hooks.done = [this, call](UpstreamResult result) {
+    OnRunDone(call, std::move(result));
+  };
+  call->run = m_upstream->Run(BuildRequest(*call), std::move(hooks));
+}
+
+bool ExitCalls::IsShed(const HttpReply& reply) const {
+  return reply.status == 503 && FindField(reply.fields, kShedField) != nullptr;
+}
+
+void ExitCalls::OnRunDone(const CallPtr& call, UpstreamResult result) {
+  const TimePoint now = Clock::now();
+  HttpReply* whole = std::get_if<HttpReply>(&result);
+  if (whole != nullptr && FindField(whole->fields, kLeavingField) != nullptr &&
+      !m_leaving) {
+    asio::post(m_io, [this] { StartLeaving(); });
+  }
+  if (whole != nullptr && IsShed(*whole)) {
+    result = RefusalReason::kUpstreamShed;
+    whole = nullptr;
+  }
+  const Duration service = now - call->started_at;
+  const bool started = call->life.step() == CallStep::kStarted;
+  ReleaseSlot(call, started && whole != nullptr && whole->status < 500);
+  AnswerMessage answer;
+  if (whole != nullptr) {
+    m_metrics.Add(Counter::kRunsFinished);
+    m_metrics.Record(Latency::kUpstream, service);
+    call->life.MoveTo(CallStep::kAnswered);
+    answer.reply = std::move(*whole);
+    answer.queue_us = Micros(call->started_at - call->received_at);
+    answer.upstream_us = Micros(service);
+  } else {
+    const auto reason = std::get<RefusalReason>(result);
+    Log(LogLevel::kDebug, LogEvent::kUpstreamFault,
+        {{"call", call->offer.call_id}, {"reason", InfoOf(reason).name}});
+    call->life.MoveTo(CallStep::kRefused);
+    answer.refused = true;
+    answer.reason = static_cast<std::uint8_t>(reason);
+  }
+  if (!call->told) {
+    call->told = true;
+    answer.load = Report();
+    call->reply.Answer(Pack(answer));
+  }
+  Discard(call);
+  StartQueued();
+}
+
+void ExitCalls::ReleaseSlot(const CallPtr& call, bool counts) {
+  if (!call->has_slot) {
+    return;
+  }
+  call->has_slot = false;
+  std::optional<Duration> service;
+  if (counts) {
+    service = Clock::now() - call->started_at;
+  }
+  m_admission.Release(call->ticket, service);
+}
+
+void ExitCalls::Discard(const CallPtr& call) {
+  call->deadline_timer.cancel();
+  call->life.MoveTo(CallStep::kFinished);
+  m_by_key.erase(call->key);
+  m_calls.erase(call->ticket);
+  call->run.reset();
+}
+
+void ExitCalls::AnswerRefusal(const StreamReply& reply,
+                              RefusalReason reason) const {
+  AnswerMessage answer;
+  answer.refused = true;
+  answer.reason = static_cast<std::uint8_t>(reason);
+  answer.load = Report();
+  reply.Answer(Pack(answer));
+}
+
+void ExitCalls::RefuseCall(const CallPtr& call, RefusalReason reason) {
+  call->life.MoveTo(CallStep::kRefused);
+  if (!call->told) {
+    call->told = true;
+    AnswerRefusal(call->reply, reason);
+  }
+  Discard(call);
+}
+
+void ExitCalls::OnDeadline(const CallPtr& call) {
+  if (!m_calls.contains(call->ticket)) {
+    return;
+  }
+  if (call->life.TryCancel()) {
+    // It had a slot and was connecting, but nothing was written yet.
+    call->run->Abort();
+    ReleaseSlot(call, false);
+    RefuseCall(call, RefusalReason::kDeadlineNotRun);
+    StartQueued();
+    return;
+  }
+  const bool first = !call->told;
+  if (first) {
+    call->told = true;
+    AnswerRefusal(call->reply, RefusalReason::kDeadlineUnknown);
+  }
+  if (first && !call->offer.idempotent) {
+    call->deadline_timer.expires_after(kOverrun);
+    call->deadline_timer.async_wait(
+        [this, call](const boost::system::error_code& error) {
+          if (!error) {
+            OnDeadline(call);
+          }
+        });
+    return;
+  }
+  call->run->Abort();
+  ReleaseSlot(call, false);
+  RefuseCall(call, RefusalReason::kDeadlineUnknown);
+  StartQueued();
+}
+
+void ExitCalls::Cancel(std::uint64_t key) {
+  const auto found = m_by_key.find(key);
+  if (found == m_by_key.end()) {
+    return;
+  }
+  const CallPtr call = m_calls.at(found->second);
+  call->told = true;
+  if (call->life.TryCancel()) {
+    m_admission.Remove(call->ticket);
+    if (call->run != nullptr) {
+      call->run->Abort();
+    }
+  } else if (call->offer.idempotent) {
+    call->run->Abort();
+  } else {
+    return;  // It has begun and may not be broken off; the slot is in use.
+  }
+  ReleaseSlot(call, false);
+  Discard(call);
+  StartQueued();
+}
+
+void ExitCalls::StartQueued() {
+  while (const auto ticket = m_admission.StartNext(Clock::now())) {
+    StartRun(m_calls.at(*ticket));
+  }
+}
+
+void ExitCalls::ArmTick() {
+  m_tick.expires_after(
+      m_admission.queued() > 0 ? kTick : std::chrono::milliseconds(50));
+  m_tick.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !m_closed) {
+      OnTick();
+    }
+  });
+}
+
+void ExitCalls::OnTick() {
+  const TimePoint now = Clock::now();
+  CheckPause(now);
+  std::ranges::for_each(m_admission.Expire(now), [&](const ExpiredCall& item) {
+    RefuseCall(m_calls.at(item.ticket), item.reason);
+  });
+  StartQueued();
+  ArmTick();
+}
+
+void ExitCalls::StartLeaving() {
+  if (m_leaving) {
+    return;
+  }
+  m_leaving = true;
+  Log(LogLevel::kInfo, LogEvent::kNodeLeaving, {{"calls", m_calls.size()}});
+}
+
+LoadReport ExitCalls::Report() const {
+  LoadReport report;
+  report.boot_id = m_boot_id;
+  report.running = m_admission.running();
+  report.queued = m_admission.queued();
+  report.limit = m_admission.limits().slots;
+  report.service_us =
+      static_cast<std::uint32_t>(Micros(m_admission.short_service()));
+  report.oldest_short_us =
+      static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
+  report.leaving = m_leaving;
+  return report;
+}
+
+std::vector<std::string> ExitCalls::CallIds() const {
+  std::vector<std::string> ids;
+  std::ranges::transform(
+      m_calls, std::back_inserter(ids),
+      [](const auto& item) { return item.second->offer.call_id; });
+  return ids;
+}
+
+JsonValue ExitCalls::ToJson() const {
+  const TimePoint now = Clock::now();
+  JsonValue::Array calls;
+  std::ranges::for_each(m_calls, [&](const auto& item) {
+    const Call& call = *item.second;
+    calls.push_back(
+        JsonValue::Object{{"call", call.offer.call_id},
+                          {"rule", call.offer.rule},
+                          {"from", call.offer.origin.vm},
+                          {"step", NameOf(call.life.step())},
+                          {"reply_head", call.head_seen},
+                          {"told", call.told},
+                          {"age_us", Micros(now - call.received_at)}});
+  });
+  return JsonValue::Object{
+      {"upstream", m_settings.upstream},
+      {"leaving", m_leaving},
+      {"slots", m_admission.limits().slots},
+      {"running", m_admission.running()},
+      {"running_long", m_admission.running_long()},
+      {"queued", m_admission.queued()},
+      {"service_us", Micros(m_admission.short_service())},
+      {"upstream_connections",
+       std::uint64_t{m_upstream == nullptr ? 0 : m_upstream->connections()}},
+      {"upstream_idle",
+       std::uint64_t{m_upstream == nullptr ? 0
+                                           : m_upstream->idle_connections()}},
+      {"calls", std::move(calls)}};
+}
+
+void ExitCalls::Close() {
+  m_closed = true;
+  m_tick.cancel();
+  if (m_upstream != nullptr) {
+    m_upstream->CloseIdle();
+  }
+}
+
+}  // namespace yuccamast
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -151,7 +151,7 @@
 void Node::BeginStop() {
   m_phase = StopPhase::kAnnouncing;
   m_entry.leaving = true;
-  RunOnExit([this] { m_exit->StartLeaving(); });
+  RunOnExit([this] { m_exit->calls().StartLeaving(); });
   m_stop_timer.expires_after(m_settings.stop.announce);
   m_stop_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -179,7 +179,7 @@
     *left += there ? 0 : 1;
   });
   const bool exit_there =
-      RunOnExit([this, left] { *left += m_exit->Drained() ? 0 : 1; });
+      RunOnExit([this, left] { *left += m_exit->calls().Drained() ? 0 : 1; });
   *left += exit_there ? 0 : 1;
   if (*left == 0) {
     FinishStop(false);
@@ -211,7 +211,7 @@
     worker->RunThere([raw, log] { log(raw->CallIds(), "entry"); },
                      kThreadAnswer);
   });
-  RunOnExit([this, log] { log(m_exit->CallIds(), "exit"); });
+  RunOnExit([this, log] { log(m_exit->calls().CallIds(), "exit"); });
 }
 
 void Node::FinishStop(bool overrun) {
@@ -287,7 +287,8 @@
     entries.push_back(there ? *json : JsonValue("busy"));
   });
   const auto exit = std::make_shared<JsonValue>();
-  const bool exit_there = RunOnExit([this, exit] { *exit = m_exit->ToJson(); });
+  const bool exit_there =
+      RunOnExit([this, exit] { *exit = m_exit->calls().ToJson(); });
   const auto view = m_store.Load();
   JsonValue::Array vms;
   if (view->vms != nullptr) {
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -20,8 +20,8 @@
 
 std::string ReadIp(ObjectReader& reader,
                    std::string_view key,
-                   std::optional<std::string> otherwise) {
-  const std::string text = reader.String(key, std::move(otherwise));
+                   const std::optional<std::string>& otherwise) {
+  std::string text = reader.String(key, otherwise);
   boost::system::error_code bad;
   boost::asio::ip::make_address(text, bad);
   if (bad) {
--- /dev/null
+++ b/src/libyuccamast/node/settings_test.cpp
@@ -0,0 +1,85 @@
+#include "node/settings.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "platform/published.h"
+
+using namespace yuccamast;  // NOLINT
+
+namespace {
+
+const std::string kGood = R"({
+  // Comments are allowed.
+  "vm": "vm-1", "ip": "127.0.0.1", "data_centre": "mn-1",
+  "caller_port": 8080, "inner_port": 8081, "control_port": 8082,
+  "upstream": {"name": "ledger-1", "port": 9000},
+  "platform": {"config_ip": "127.0.0.1", "config_port": 9500},
+  "stop": {"drain_ms": 1000}
+})";
+
+std::string Replaced(const std::string& what, const std::string& by) {
+  std::string text = kGood;
+  text.replace(text.find(what), what.size(), by);
+  return text;
+}
+
+void ExpectFault(const std::string& text,
+                 const std::string& key,
+                 FieldFault fault) {
+  const auto settings = ParseSettings(text);
+  cr_assert(!settings);
+  const auto& fields = settings.error().fields;
+  const bool found = std::ranges::any_of(fields, [&](const FieldError& error) {
+    return error.key == key && error.fault == fault;
+  });
+  cr_expect(found, "%s", key.c_str());
+}
+
+}  // namespace
+
+Test(settings, defaults_fill_in) {
+  const auto settings = ParseSettings(kGood);
+  cr_assert(static_cast<bool>(settings));
+  cr_expect_eq(settings.value().upstream_ip, "127.0.0.1");
+  cr_expect(settings.value().stop.drain == std::chrono::seconds(1));
+  cr_expect_eq(settings.value().vm_list.port, 9500);
+}
+
+Test(settings, every_mistake_names_its_key) {
+  ExpectFault(Replaced("8080", "80800"), "caller_port",
+              FieldFault::kOutOfRange);
+  ExpectFault(Replaced("\"drain_ms\"", "\"drain\""), "stop.drain",
+              FieldFault::kUnknownKey);
+  ExpectFault(Replaced("9000", "\"9000\""), "upstream.port",
+              FieldFault::kWrongType);
+  ExpectFault(Replaced("\"ip\": \"127.0.0.1\"", "\"ip\": \"host\""), "ip",
+              FieldFault::kOutOfRange);
+  ExpectFault(Replaced("\"platform\"", "\"platfrom\""), "platform",
+              FieldFault::kMissing);
+}
+
+Test(published, a_list_with_one_bad_vm_is_refused_whole) {
+  const std::string good =
+      R"({"id": "a", "ip": "10.0.0.1", "inner_port": 1, "data_centre": "d"})";
+  cr_expect(static_cast<bool>(ParseVmList(R"({"vms": [)" + good + "]}")));
+  for (const std::string& bad :
+       {std::string(R"({"id": "b", "ip": "x", "inner_port": 1,
+                        "data_centre": "d"})"),
+        std::string(R"({"id": "b", "ip": "10.0.0.1", "data_centre": "d"})"),
+        std::string(R"({"id": "b", "ip": "10.0.0.1", "inner_port": 1,
+                        "data_centre": "d", "state": "maybe"})"),
+        good}) {
+    cr_expect_not(ParseVmList(R"({"vms": [)" + good + "," + bad + "]}"));
+  }
+  cr_expect_not(ParseVmList(R"({"vms": {}})"));
+}
+
+Test(published, configuration_round_trip) {
+  const PublishedConfig config{7, {{"a.json", "{\"x\": \"\\n\"}"}}};
+  const auto parsed = ParsePublishedConfig(WritePublishedConfig(config));
+  cr_assert(static_cast<bool>(parsed));
+  cr_expect_eq(parsed.value().revision, 7U);
+  cr_expect_eq(parsed.value().files[0].text, config.files[0].text);
+}
--- /dev/null
+++ b/src/libyuccamast/outcome/outcome_test.cpp
@@ -0,0 +1,78 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+#include "yuccamast/outcome/call_life.h"
+#include "yuccamast/outcome/refusal.h"
+#include "yuccamast/outcome/sequence_window.h"
+
+using namespace yuccamast;  // NOLINT
+
+Test(refusal, table_is_in_order_and_names_are_unique) {
+  for (std::size_t i = 0; i < kRefusalReasonCount; ++i) {
+    cr_expect_eq(static_cast<std::size_t>(kRefusalTable.at(i).reason), i);
+    const auto same = std::ranges::count(
+        kRefusalTable, kRefusalTable.at(i).name, &RefusalInfo::name);
+    cr_expect_eq(same, 1);
+  }
+  cr_expect_not(RefusalFromValue(kRefusalReasonCount).has_value());
+}
+
+Test(refusal, only_what_is_proven_not_run_may_be_moved) {
+  const bool sound = std::ranges::all_of(kRefusalTable, [](const auto& info) {
+    return !info.movable || info.claim == RunClaim::kNotRun;
+  });
+  cr_expect(sound);
+}
+
+Test(life, start_and_cancel_exclude_each_other) {
+  CallLife started(CallStep::kAdmitted);
+  cr_expect(started.TryStart());
+  cr_expect_not(started.TryCancel());
+  CallLife cancelled(CallStep::kAdmitted);
+  cr_expect(cancelled.TryCancel());
+  cr_expect_not(cancelled.TryStart());
+}
+
+Test(life, one_of_two_racing_threads_wins) {
+  for (int i = 0; i < 2000; ++i) {
+    CallLife life(CallStep::kAdmitted);
+    std::atomic<int> wins{0};
+    std::thread other([&] { wins += life.TryCancel() ? 1 : 0; });
+    wins += life.TryStart() ? 1 : 0;
+    other.join();
+    cr_assert_eq(wins.load(), 1);
+  }
+}
+
+Test(life, nothing_leads_back_before_the_start) {
+  for (std::size_t to = 0; to < kCallStepCount; ++to) {
+    const auto step = static_cast<CallStep>(to);
+    const bool forward =
+        step == CallStep::kAnswered || step == CallStep::kRefused;
+    cr_expect_eq(IsAllowed(CallStep::kStarted, step), forward);
+    cr_expect_not(IsAllowed(CallStep::kFinished, step));
+  }
+}
+
+Test(window, accepts_each_number_once_in_any_order) {
+  SequenceWindow window;
+  for (const std::uint64_t number : {5U, 1U, 3U, 2U, 4U}) {
+    cr_expect(window.Accept(number));
+    cr_expect_not(window.Accept(number));
+  }
+}
+
+Test(window, refuses_what_fell_out) {
+  SequenceWindow window;
+  cr_expect(window.Accept(1));
+  cr_expect(window.Accept(SequenceWindow::kSize + 10));
+  cr_expect_not(window.Accept(1));
+  cr_expect_not(window.Accept(10));
+  cr_expect(window.Accept(11));
+  cr_expect_not(window.Accept(0));
+  cr_expect(window.Accept(100 * SequenceWindow::kSize));
+  cr_expect(window.Accept(100 * SequenceWindow::kSize - 1));
+}
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::uint64_t kMaxBody = 64U << 20U;
 
-void ParseTarget(std::string target, Request& request) {
+void ParseTarget(const std::string& target, Request& request) {
   const std::size_t mark = target.find('?');
   request.path = target.substr(0, mark);
   if (mark == std::string::npos) {
@@ -173,8 +173,7 @@
                        const std::string& ip,
                        std::uint16_t port,
                        Handler handler)
-    : m_io(io),
-      m_acceptor(io),
+    : m_acceptor(io),
       m_handler(std::move(handler)),
       m_connections(std::make_shared<std::size_t>(0)) {
   const tcp::endpoint endpoint(asio::ip::make_address(ip), port);
--- a/src/standin/http_server.h
+++ b/src/standin/http_server.h
@@ -63,7 +63,6 @@
  private:
   void Accept();
 
-  asio::io_context& m_io;
   tcp::acceptor m_acceptor;
   Handler m_handler;
   std::shared_ptr<std::size_t> m_connections;
--- a/testsuite/demo.cpp
+++ b/testsuite/demo.cpp
@@ -37,7 +37,7 @@
   const std::array<std::string, 4> services = {"ledger", "bookings", "dispatch",
                                                "rounds"};
   for (int i = 0; i < 8; ++i) {
-    const std::string service = services.at(static_cast<std::size_t>(i % 4));
+    const std::string& service = services.at(static_cast<std::size_t>(i % 4));
     spec.vms.push_back({"vm-" + std::to_string(i + 1),
                         service + "-" + std::to_string(i / 4 + 1), service,
                         i < 4 ? "mn-1" : "mn-2", "mn-central"});
