Let nodes keep one view of the fleet and of the configuration by themselves

Cause: every node read the platform on its own, leaving was learnt only by refusals, and a stale service could take a fresh node back. Change: SWIM-like membership as a pure class (suspicion, indirect pings, fresh news pushed within a budget, records in turn fill free room); versions held ride on every datagram and a node behind fetches from the sender; two readers a data centre by hash; a fresh node hears peers before it trusts the service; after a pause the view counts as old until peers were heard.

--- /dev/null
+++ b/src/libyuccamast/membership/membership_test.cpp
@@ -0,0 +1,370 @@
+#include "yuccamast/membership/membership.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "yuccamast/membership/pause_detector.h"
+#include "yuccamast/membership/reader_rank.h"
+
+using namespace yuccamast;  // NOLINT
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Duration kTick = milliseconds(50);
+
+/// Members in memory, joined by a network with delay, loss and cuts.
+class Network {
+ public:
+  Network(std::size_t count, std::size_t regions, std::uint64_t seed)
+      : m_random(seed) {
+    for (std::size_t i = 0; i < count; ++i) {
+      ListedMember vm;
+      vm.vm = "vm-" + std::to_string(1000 + i);
+      vm.ip = vm.vm;
+      vm.port = static_cast<std::uint16_t>(i);
+      vm.region = "r" + std::to_string(i % regions);
+      vm.data_centre = "dc" + std::to_string(i % (regions * 3));
+      m_listed.push_back(vm);
+    }
+    m_paused.resize(count);
+    m_part.resize(count);
+    m_members.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      Start(i, 1);
+    }
+  }
+
+  void Start(std::size_t index, std::uint64_t epoch) {
+    const ListedMember& vm = m_listed[index];
+    MemberRecord self;
+    self.vm = vm.vm;
+    self.ip = vm.ip;
+    self.port = vm.port;
+    self.region = vm.region;
+    self.data_centre = vm.data_centre;
+    self.epoch = epoch;
+    MembershipHooks hooks;
+    hooks.random = [this] { return m_random(); };
+    hooks.send = [this, index](const std::string&, std::uint16_t port,
+                               const GossipMessage& message) {
+      Deliver(index, port, message);
+    };
+    hooks.on_versions = [this, index](const MemberRecord&,
+                                      const HeldVersion& config,
+                                      const HeldVersion&) {
+      if (config > held[index]) {
+        held[index] = config;
+        m_members[index]->SetConfig(config);
+        m_members[index]->Announce();
+      }
+    };
+    held.resize(m_listed.size());
+    m_members[index] = std::make_unique<Membership>(self, MembershipOptions{},
+                                                    std::move(hooks));
+    m_members[index]->SetListed(m_listed, m_now);
+  }
+
+  void Run(Duration duration) {
+    const TimePoint until = m_now + duration;
+    while (m_now < until) {
+      m_now += kTick;
+      while (!m_queue.empty() && m_queue.top().due <= m_now) {
+        const Packet packet = m_queue.top();
+        m_queue.pop();
+        if (m_members[packet.to] && !m_paused[packet.to]) {
+          m_members[packet.to]->OnMessage(packet.message, m_now);
+        }
+      }
+      for (std::size_t i = 0; i < m_members.size(); ++i) {
+        if (m_members[i] && !m_paused[i]) {
+          m_members[i]->OnTick(m_now);
+        }
+      }
+    }
+  }
+
+  /// Runs until every running member satisfies `condition`, at most `limit`.
+  template <typename Condition>
+  Duration RunUntilAll(Condition condition, Duration limit) {
+    const TimePoint begun = m_now;
+    const auto all = [&] {
+      for (std::size_t i = 0; i < m_members.size(); ++i) {
+        if (m_members[i] && !m_paused[i] && !condition(i)) {
+          return false;
+        }
+      }
+      return true;
+    };
+    while (!all() && m_now - begun < limit) {
+      Run(kTick);
+    }
+    return m_now - begun;
+  }
+
+  void Kill(std::size_t index) { m_members[index].reset(); }
+  void Pause(std::size_t index) { m_paused[index] = true; }
+  void Resume(std::size_t index, Duration pause) {
+    m_paused[index] = false;
+    m_members[index]->OnPause(pause, m_now);
+  }
+  void Cut(std::size_t index, int part) { m_part[index] = part; }
+  void SetLoss(double loss) { m_loss = loss; }
+  Membership& At(std::size_t index) { return *m_members[index]; }
+  std::size_t size() const { return m_members.size(); }
+
+  MemberState StateAt(std::size_t viewer, std::size_t member) {
+    return At(viewer).members().at(m_listed[member].vm).state();
+  }
+  bool LeavingAt(std::size_t viewer, std::size_t member) {
+    return At(viewer).members().at(m_listed[member].vm).record.leaving;
+  }
+
+  /// Members that some running member believes to be gone.
+  std::size_t CountGone(std::size_t except) {
+    std::size_t gone = 0;
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (!m_members[i] || i == except) {
+        continue;
+      }
+      gone += static_cast<std::size_t>(
+          std::ranges::count_if(At(i).members(), [](const auto& item) {
+            return item.second.state() == MemberState::kGone;
+          }));
+    }
+    return gone;
+  }
+
+  std::vector<HeldVersion> held;
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+
+ private:
+  struct Packet {
+    TimePoint due;
+    std::size_t to = 0;
+    GossipMessage message;
+    bool operator<(const Packet& other) const { return due > other.due; }
+  };
+
+  void Deliver(std::size_t from, std::size_t to, const GossipMessage& message) {
+    ++messages;
+    if (messages % 16 == 0) {
+      msgpack::sbuffer buffer;
+      msgpack::pack(buffer, message);
+      bytes += 16 * buffer.size();
+    }
+    const double luck = std::uniform_real_distribution<double>(0, 1)(m_random);
+    if (luck < m_loss || m_part[from] != m_part[to]) {
+      return;
+    }
+    m_queue.push({m_now + milliseconds(1 + m_random() % 5), to, message});
+  }
+
+  std::mt19937_64 m_random;
+  TimePoint m_now{std::chrono::hours(1)};
+  std::vector<ListedMember> m_listed;
+  std::vector<std::unique_ptr<Membership>> m_members;
+  std::vector<bool> m_paused;
+  std::vector<int> m_part;
+  std::priority_queue<Packet> m_queue;
+  double m_loss = 0;
+};
+
+}  // namespace
+
+Test(membership, a_killed_member_is_known_everywhere_within_5_s) {
+  Network network(610, 3, 1);
+  network.Run(std::chrono::seconds(3));
+  network.Kill(7);
+  const Duration took = network.RunUntilAll(
+      [&](std::size_t i) {
+        return network.StateAt(i, 7) == MemberState::kGone;
+      },
+      std::chrono::seconds(20));
+  cr_log_info("took %ld ms", took.count() / 1'000'000);
+  cr_expect_leq(took.count(), Duration(std::chrono::seconds(5)).count());
+}
+
+Test(membership, leaving_is_known_everywhere_within_2_s_despite_loss) {
+  Network network(610, 3, 2);
+  network.SetLoss(0.05);
+  network.Run(std::chrono::seconds(3));
+  network.At(11).SetLeaving(true);
+  network.At(11).Announce();
+  const Duration took = network.RunUntilAll(
+      [&](std::size_t i) { return i == 11 || network.LeavingAt(i, 11); },
+      std::chrono::seconds(20));
+  cr_log_info("took %ld ms", took.count() / 1'000'000);
+  cr_expect_leq(took.count(), Duration(std::chrono::seconds(2)).count());
+}
+
+Test(membership, a_new_revision_is_held_everywhere_within_2_s) {
+  Network network(610, 3, 3);
+  network.SetLoss(0.05);
+  network.Run(std::chrono::seconds(3));
+  network.held[5] = {7, "d"};
+  network.At(5).SetConfig(network.held[5]);
+  network.At(5).Announce();
+  const Duration took = network.RunUntilAll(
+      [&](std::size_t i) { return network.held[i].revision == 7; },
+      std::chrono::seconds(20));
+  cr_log_info("took %ld ms", took.count() / 1'000'000);
+  cr_expect_leq(took.count(), Duration(std::chrono::seconds(2)).count());
+}
+
+Test(membership, pauses_of_2_s_declare_nobody_gone) {
+  Network network(100, 3, 4);
+  network.Run(std::chrono::seconds(3));
+  for (std::size_t round = 0; round < 10; ++round) {
+    const std::size_t paused = round * 9;
+    network.Pause(paused);
+    network.Run(std::chrono::seconds(2));
+    network.Resume(paused, std::chrono::seconds(2));
+    network.Run(std::chrono::seconds(1));
+    cr_assert_eq(network.CountGone(network.size()), 0U, "round %zu", round);
+  }
+}
+
+Test(membership, a_member_that_paused_long_blames_nobody_and_is_back) {
+  Network network(100, 3, 5);
+  network.Run(std::chrono::seconds(3));
+  network.Pause(50);
+  network.Run(std::chrono::seconds(20));
+  cr_expect(network.StateAt(0, 50) == MemberState::kGone);
+  network.Resume(50, std::chrono::seconds(20));
+  network.Run(std::chrono::seconds(1));
+  const auto gone =
+      std::ranges::count_if(network.At(50).members(), [](const auto& item) {
+        return item.second.state() == MemberState::kGone;
+      });
+  cr_expect_eq(gone, 0);
+  const Duration back = network.RunUntilAll(
+      [&](std::size_t i) {
+        return i == 50 || network.StateAt(i, 50) == MemberState::kLive;
+      },
+      std::chrono::seconds(20));
+  cr_expect_leq(back.count(), Duration(std::chrono::seconds(10)).count());
+}
+
+Test(membership, a_region_cut_off_stays_whole_and_finds_the_rest_again) {
+  Network network(150, 3, 6);
+  network.Run(std::chrono::seconds(3));
+  for (std::size_t i = 0; i < 150; i += 3) {
+    network.Cut(i, 1);
+  }
+  network.Run(std::chrono::minutes(2));
+  for (std::size_t viewer = 0; viewer < 150; ++viewer) {
+    for (std::size_t member = 0; member < 150; ++member) {
+      const bool same = (viewer % 3 == 0) == (member % 3 == 0);
+      if (viewer != member && same) {
+        cr_assert(network.StateAt(viewer, member) != MemberState::kGone);
+      }
+    }
+  }
+  for (std::size_t i = 0; i < 150; ++i) {
+    network.Cut(i, 0);
+  }
+  const Duration healed = network.RunUntilAll(
+      [&](std::size_t i) {
+        return std::ranges::all_of(
+            network.At(i).members(), [](const auto& item) {
+              return item.second.state() == MemberState::kLive;
+            });
+      },
+      std::chrono::minutes(3));
+  cr_expect_leq(healed.count(), Duration(std::chrono::seconds(20)).count());
+}
+
+Test(membership, a_restarted_member_replaces_its_earlier_life) {
+  Network network(30, 1, 7);
+  network.Run(std::chrono::seconds(3));
+  network.At(4).SetLeaving(true);
+  network.At(4).Announce();
+  network.Run(std::chrono::seconds(2));
+  cr_expect(network.LeavingAt(0, 4));
+  network.Start(4, 0x100);
+  network.At(4).Join(3, TimePoint(std::chrono::hours(1)));
+  network.Run(std::chrono::seconds(3));
+  cr_expect_not(network.LeavingAt(0, 4));
+  cr_expect(network.StateAt(0, 4) == MemberState::kLive);
+}
+
+Test(membership, a_restart_with_a_clock_behind_still_wins) {
+  Network network(30, 1, 8);
+  network.Start(4, 1000);
+  network.Run(std::chrono::seconds(3));
+  network.At(4).SetLeaving(true);
+  network.At(4).Announce();
+  network.Run(std::chrono::seconds(2));
+  network.Start(4, 10);
+  network.Run(std::chrono::seconds(5));
+  cr_expect_not(network.LeavingAt(0, 4));
+  cr_expect_gt(network.At(4).self().epoch, 1000U);
+}
+
+Test(membership, old_and_repeated_words_change_nothing) {
+  Network network(10, 1, 9);
+  network.Run(std::chrono::seconds(2));
+  const MemberRecord now = network.At(0).members().at("vm-1003").record;
+  GossipMessage forged;
+  forged.sender = network.At(1).self();
+  MemberRecord old = now;
+  old.version = 0;
+  old.state = 2;
+  forged.records = {old, now, now};
+  MemberRecord impossible = now;
+  impossible.version += 10;
+  impossible.state = 9;
+  forged.records.push_back(impossible);
+  network.At(0).OnMessage(forged, TimePoint(std::chrono::hours(2)));
+  cr_expect_eq(network.At(0).members().at("vm-1003").record.version,
+               now.version);
+  cr_expect(network.StateAt(0, 3) == MemberState::kLive);
+}
+
+Test(membership, messages_and_bytes_a_node_do_not_grow_with_the_fleet) {
+  double rate_small = 0;
+  for (const std::size_t count : {17U, 100U, 610U}) {
+    Network network(count, 3, 10);
+    network.Run(std::chrono::seconds(3));
+    network.messages = 0;
+    network.bytes = 0;
+    network.Run(std::chrono::seconds(5));
+    const double rate = static_cast<double>(network.messages) / 5.0 /
+                        static_cast<double>(count);
+    const double bytes =
+        static_cast<double>(network.bytes) / 5.0 / static_cast<double>(count);
+    rate_small = rate_small == 0 ? rate : rate_small;
+    cr_expect_lt(rate, 1.2 * rate_small);
+    cr_log_info("%zu members: %.1f messages/s, %.0f bytes/s sent a node", count,
+                rate, bytes);
+    cr_expect_lt(2 * bytes, 21'000.0, "%zu members: %f bytes/s", count, bytes);
+  }
+}
+
+Test(readers, are_a_few_in_each_data_centre) {
+  Network network(300, 3, 11);
+  network.Run(std::chrono::seconds(15));
+  std::size_t readers = 0;
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    readers += IsReader(network.At(i)) ? 1 : 0;
+  }
+  cr_expect_geq(readers, 9U * kReaders);
+  cr_expect_leq(readers, 9U * (kReaders + 2));
+}
+
+Test(pause, is_noticed_once_and_settles) {
+  const TimePoint start{std::chrono::hours(1)};
+  PauseDetector detector(milliseconds(300), milliseconds(50), start);
+  cr_expect(detector.Check(start + milliseconds(20)) == Duration::zero());
+  const TimePoint woken = start + std::chrono::seconds(5);
+  cr_expect_gt(detector.Check(woken).count(), 0);
+  cr_expect(detector.Check(woken + milliseconds(1)) == Duration::zero());
+  cr_expect(detector.Settling(woken + milliseconds(49)));
+  cr_expect_not(detector.Settling(woken + milliseconds(51)));
+}
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -59,8 +59,9 @@
     if (m_pause.Check(now) > Duration::zero()) {
       m_shared.metrics.Add(Counter::kPauses);
       Log(LogLevel::kWarning, LogEvent::kPauseNoticed, {{"face", "entry"}});
+      m_shared.store.MarkOld();
     }
-    return m_pause.Settling(now);
+    return m_pause.Settling(now) || m_shared.store.IsOld();
   };
   m_hooks.run = [this](CallerRequest request,
                        std::function<void(CallerReply)> done) {
--- a/src/libyuccamast/node/fleet_view.cpp
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-std::string KeyOf(const Upstream& upstream, const VmRecord& vm) {
+/// A balance state belongs to one life of the node beside the upstream.
+std::string KeyOf(const Upstream& upstream,
+                  const VmRecord& vm,
+                  std::uint64_t epoch) {
   return upstream.name + "@" + vm.id + "@" + vm.ip + ":" +
-         std::to_string(vm.inner_port);
+         std::to_string(vm.inner_port) + "@" + std::to_string(epoch);
 }
 
 const VmRecord* FindVm(const VmList& list, const std::string& id) {
@@ -45,19 +48,51 @@
                                                   : table.same_region;
 }
 
-Candidate FleetStore::MakeCandidate(const Upstream& upstream,
-                                    const VmRecord& vm) {
+void FleetStore::SetLiveness(std::shared_ptr<const LivenessMap> liveness) {
+  const std::lock_guard lock(m_mutex);
+  if (m_liveness != nullptr && *m_liveness == *liveness) {
+    return;
+  }
+  m_liveness = std::move(liveness);
+  Rebuild();
+}
+
+Liveness FleetStore::LivenessOf(const std::string& vm) const {
+  if (m_liveness == nullptr) {
+    return {};
+  }
+  const auto found = m_liveness->find(vm);
+  return found == m_liveness->end() ? Liveness{} : found->second;
+}
+
+Candidate FleetStore::MakeCandidate(const std::string& key,
+                                    const VmRecord& vm,
+                                    const Liveness& liveness) {
   const bool first_view = Load()->services.empty();
-  auto& state = m_states[KeyOf(upstream, vm)];
+  auto& state = m_states[key];
   if (state == nullptr) {
     state = std::make_shared<UpstreamState>(Clock::now(), !first_view);
   }
-  if (vm.leaving) {
+  if (vm.leaving || liveness.leaving) {
     state->set_leaving(true);
   }
   return {state, DistanceTo(vm)};
 }
 
+void FleetStore::DropGone(ServiceView& service, const std::vector<bool>& gone) {
+  if (std::ranges::find(gone, false) == gone.end()) {
+    return;  // All seem gone: this node may be the one that is cut off.
+  }
+  ServiceView kept{service.service, {}, {}, service.retries};
+  for (std::size_t i = 0; i < gone.size(); ++i) {
+    if (!gone[i]) {
+      kept.members.push_back(service.members[i]);
+      kept.candidates.push_back(service.candidates[i]);
+    }
+  }
+  service = std::move(kept);
+}
+
 void FleetStore::Rebuild() {
   auto view = std::make_shared<FleetView>();
   view->config = m_config;
@@ -66,7 +101,6 @@
     m_view.store(std::move(view), std::memory_order_release);
     return;
   }
-  std::map<std::string, std::shared_ptr<UpstreamState>> used;
   for (const auto& [name, service] : m_config->services) {
     auto& retries = m_retries[name];
     if (retries == nullptr) {
@@ -74,19 +108,26 @@
     }
     view->services[name] = {service, {}, {}, retries};
   }
+  std::map<std::string, std::shared_ptr<UpstreamState>> used;
+  std::map<std::string, std::vector<bool>> gone;
   for (const auto& [name, upstream] : m_config->upstreams) {
     const VmRecord* vm = FindVm(*m_vms, upstream.vm);
     if (vm == nullptr) {
       continue;
     }
+    const Liveness liveness = LivenessOf(vm->id);
+    const std::string key = KeyOf(upstream, *vm, liveness.epoch);
     ServiceView& service = view->services[upstream.service];
-    Candidate candidate = MakeCandidate(upstream, *vm);
-    used[KeyOf(upstream, *vm)] = candidate.state;
+    Candidate candidate = MakeCandidate(key, *vm, liveness);
+    used[key] = candidate.state;
     service.candidates.push_back(std::move(candidate));
     service.members.push_back(
-        {name,
-         vm->id,
+        {name, vm->id,
          {boost::asio::ip::make_address(vm->ip), vm->inner_port}});
+    gone[upstream.service].push_back(liveness.gone);
+  }
+  for (auto& [name, service] : view->services) {
+    DropGone(service, gone[name]);
   }
   m_states = std::move(used);
   m_view.store(std::move(view), std::memory_order_release);
--- a/src/libyuccamast/node/fleet_view.h
+++ b/src/libyuccamast/node/fleet_view.h
@@ -44,6 +44,17 @@
   std::map<std::string, ServiceView, std::less<>> services;
 };
 
+/// What membership says about the node of a VM.
+struct Liveness {
+  bool gone = false;
+  bool leaving = false;
+  std::uint64_t epoch = 0;
+
+  bool operator==(const Liveness&) const = default;
+};
+
+using LivenessMap = std::map<std::string, Liveness>;
+
 /// Publishes snapshots. `Load` is thread-safe and wait-free for practical
 /// purposes; the other methods may be called from any thread and take a lock.
 class FleetStore {
@@ -56,13 +67,23 @@
 
   void SetConfig(std::shared_ptr<const Configuration> config);
   void SetVms(std::shared_ptr<const VmList> vms);
+  void SetLiveness(std::shared_ptr<const LivenessMap> liveness);
+
+  /// Marks the view as too old to route by, as after a pause, until cleared.
+  void MarkOld() { m_old.store(true, std::memory_order_relaxed); }
+  void ClearOld() { m_old.store(false, std::memory_order_relaxed); }
+  bool IsOld() const { return m_old.load(std::memory_order_relaxed); }
 
   /// All balance states by name of the upstream, for the dump.
   JsonValue BalanceToJson(TimePoint now) const;
 
  private:
   void Rebuild();
-  Candidate MakeCandidate(const Upstream& upstream, const VmRecord& vm);
+  Candidate MakeCandidate(const std::string& key,
+                          const VmRecord& vm,
+                          const Liveness& liveness);
+  Liveness LivenessOf(const std::string& vm) const;
+  static void DropGone(ServiceView& service, const std::vector<bool>& gone);
   Duration DistanceTo(const VmRecord& vm) const;
 
   const NodeSettings& m_settings;
@@ -70,6 +91,8 @@
   std::mutex m_mutex;  ///< Guards the members below and rebuilding.
   std::shared_ptr<const Configuration> m_config;
   std::shared_ptr<const VmList> m_vms;
+  std::shared_ptr<const LivenessMap> m_liveness;
+  std::atomic<bool> m_old{false};
   std::map<std::string, std::shared_ptr<UpstreamState>> m_states;
   std::map<std::string, std::shared_ptr<RetryBudget>> m_retries;
 };
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -32,23 +32,14 @@
       m_entry{m_settings, m_store, m_metrics, m_budget},
       m_exit_io(1),
       m_signals(m_control_io),
-      m_stop_timer(m_control_io) {}
+      m_stop_timer(m_control_io),
+      m_plane(m_control_io, m_settings, m_store, m_metrics) {}
 
 Node::~Node() = default;
 
 int Node::Run() {
   StartFaces();
-  WatcherHooks hooks;
-  hooks.should_read = [] { return true; };
-  hooks.revision = [this] {
-    const std::lock_guard lock(m_config_mutex);
-    return std::max(m_keeper.version().revision,
-                    m_keeper.refused_version().revision);
-  };
-  hooks.on_config = [this](const PublishedConfig& config) { OnConfig(config); };
-  hooks.on_vms = [this](VmList list) { OnVms(std::move(list)); };
-  m_watcher = std::make_unique<PlatformWatcher>(m_settings, m_metrics,
-                                                std::move(hooks));
+  m_plane.Start();
   m_control = std::make_unique<ControlServer>(
       m_settings.ip, m_settings.control_port,
       [this](const std::string& path) { return OnControl(path); });
@@ -67,6 +58,8 @@
 void Node::StartFaces() {
   m_exit = std::make_unique<ExitFace>(m_exit_io, m_settings, m_store, m_metrics,
                                       m_budget, m_boot_id);
+  m_exit->SetControlHook(
+      [this](std::string bytes) { return m_plane.Serve(std::move(bytes)); });
   m_exit->Listen();
   m_exit_thread = std::thread([this] { m_exit_io.run(); });
   for (std::uint32_t i = 0; i < m_settings.entry_threads; ++i) {
@@ -86,47 +79,15 @@
   return future.wait_for(kThreadAnswer) == std::future_status::ready;
 }
 
-void Node::OnConfig(const PublishedConfig& config) {
-  const std::lock_guard lock(m_config_mutex);
-  const ConfigVerdict verdict = m_keeper.Offer(config.files, config.revision);
-  if (verdict == ConfigVerdict::kAccepted) {
-    m_store.SetConfig(m_keeper.in_force());
-    Log(LogLevel::kInfo, LogEvent::kConfigAccepted,
-        {{"revision", config.revision}, {"digest", m_keeper.version().digest}});
-  } else if (verdict == ConfigVerdict::kRefused) {
-    std::ranges::for_each(m_keeper.refused_errors(),
-                          [&](const ConfigError& error) {
-                            Log(LogLevel::kError, LogEvent::kConfigRefused,
-                                {{"revision", config.revision},
-                                 {"file", error.file},
-                                 {"key", error.key},
-                                 {"fault", NameOf(error.fault)},
-                                 {"detail", error.detail}});
-                          });
-  } else if (verdict == ConfigVerdict::kOlder) {
-    Log(LogLevel::kWarning, LogEvent::kConfigStale,
-        {{"offered", config.revision},
-         {"in_force", m_keeper.version().revision}});
-  }
-}
-
-void Node::OnVms(VmList list) {
-  const auto view = m_store.Load();
-  const std::size_t before = view->vms == nullptr ? 0 : view->vms->vms.size();
-  if (list.vms.size() * 2 < before && m_vm_refusals < 5) {
-    // One bad read must not drop half of the fleet.
-    ++m_vm_refusals;
-    Log(LogLevel::kWarning, LogEvent::kVmListRefused,
-        {{"vms", list.vms.size()}, {"before", before}});
-    return;
-  }
-  m_vm_refusals = 0;
-  if (view->vms != nullptr && view->vms->vms == list.vms) {
-    return;
-  }
-  Log(LogLevel::kInfo, LogEvent::kVmListAccepted,
-      {{"revision", list.revision}, {"vms", list.vms.size()}});
-  m_store.SetVms(std::make_shared<const VmList>(std::move(list)));
+JsonValue Node::AskControl(std::function<JsonValue()> question) {
+  const auto answer = std::make_shared<std::promise<JsonValue>>();
+  auto future = answer->get_future();
+  asio::post(m_control_io, [question = std::move(question), answer] {
+    answer->set_value(question());
+  });
+  return future.wait_for(kThreadAnswer) == std::future_status::ready
+             ? future.get()
+             : JsonValue("busy");
 }
 
 void Node::ArmSignals() {
@@ -152,6 +113,7 @@
   m_phase = StopPhase::kAnnouncing;
   m_entry.leaving = true;
   RunOnExit([this] { m_exit->calls().StartLeaving(); });
+  m_plane.BeginLeaving();
   m_stop_timer.expires_after(m_settings.stop.announce);
   m_stop_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -228,7 +190,7 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
   m_control.reset();
-  m_watcher.reset();
+  m_plane.Close();
   m_workers.clear();
   RunOnExit([this] { m_exit->Close(); });
   m_exit_io.stop();
@@ -241,6 +203,11 @@
   if (path == "/dump") {
     return {200, "application/json", WriteJson(Dump(), true) + "\n"};
   }
+  if (path == "/status") {
+    return {200, "application/json",
+            WriteJson(AskControl([this] { return m_plane.MembersToJson(); })) +
+                "\n"};
+  }
   if (path == "/metrics") {
     return {200, "text/plain; version=0.0.4", m_metrics.ToText()};
   }
@@ -253,30 +220,6 @@
   return {404, "text/plain", "unknown page\n"};
 }
 
-JsonValue Node::ConfigToJson() {
-  const std::lock_guard lock(m_config_mutex);
-  const ConfigVersion version = m_keeper.version();
-  JsonValue::Array errors;
-  std::ranges::transform(m_keeper.refused_errors(), std::back_inserter(errors),
-                         [](const ConfigError& error) {
-                           return JsonValue::Object{
-                               {"file", error.file},
-                               {"key", error.key},
-                               {"fault", NameOf(error.fault)},
-                               {"detail", error.detail}};
-                         });
-  return JsonValue::Object{
-      {"revision", version.revision},
-      {"digest", version.digest},
-      {"refused_revision", m_keeper.refused_version().revision},
-      {"refused_errors", std::move(errors)},
-      {"conflict_seen", m_keeper.conflict_seen()},
-      {"service_reachable",
-       m_watcher != nullptr && m_watcher->config_reachable()},
-      {"vm_list_reachable",
-       m_watcher != nullptr && m_watcher->vm_list_reachable()}};
-}
-
 JsonValue Node::Dump() {
   JsonValue::Array entries;
   std::ranges::for_each(m_workers, [&](const auto& worker) {
@@ -289,19 +232,6 @@
   const auto exit = std::make_shared<JsonValue>();
   const bool exit_there =
       RunOnExit([this, exit] { *exit = m_exit->calls().ToJson(); });
-  const auto view = m_store.Load();
-  JsonValue::Array vms;
-  if (view->vms != nullptr) {
-    std::ranges::transform(
-        view->vms->vms, std::back_inserter(vms), [](const VmRecord& vm) {
-          return JsonValue::Object{{"id", vm.id},
-                                   {"ip", vm.ip},
-                                   {"inner_port", int{vm.inner_port}},
-                                   {"data_centre", vm.data_centre},
-                                   {"region", vm.region},
-                                   {"leaving", vm.leaving}};
-        });
-  }
   const std::int64_t uptime =
       std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
                                                             m_started_at)
@@ -312,8 +242,9 @@
       {"boot_id", std::to_string(m_boot_id)},
       {"uptime_ms", uptime},
       {"leaving", m_phase != StopPhase::kServing},
-      {"config", ConfigToJson()},
-      {"vms", std::move(vms)},
+      {"config", AskControl([this] { return m_plane.ConfigToJson(); })},
+      {"members", AskControl([this] { return m_plane.MembersToJson(); })},
+      {"view_old", m_store.IsOld()},
       {"balance", m_store.BalanceToJson(Clock::now())},
       {"entries", std::move(entries)},
       {"exit", exit_there ? *exit : JsonValue("busy")},
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -4,16 +4,14 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
-#include <mutex>
 #include <thread>
 #include <vector>
 
+#include "node/control_plane.h"
 #include "node/entry_worker.h"
 #include "node/exit_face.h"
 #include "node/settings.h"
 #include "platform/control_server.h"
-#include "platform/watcher.h"
-#include "yuccamast/config/config_keeper.h"
 
 /// \file node.h
 /// One node: both faces, the control thread and the operators' address.
@@ -52,11 +50,9 @@
   void FinishStop(bool overrun);
   void LogCallsLeft();
   bool RunOnExit(std::function<void()> work);
-  void OnConfig(const PublishedConfig& config);
-  void OnVms(VmList list);
+  JsonValue AskControl(std::function<JsonValue()> question);
   ControlReply OnControl(const std::string& path);
   JsonValue Dump();
-  JsonValue ConfigToJson();
 
   const NodeSettings m_settings;
   const std::uint64_t m_boot_id;
@@ -72,10 +68,7 @@
   asio::io_context m_control_io;
   asio::signal_set m_signals;
   asio::steady_timer m_stop_timer;
-  std::mutex m_config_mutex;  ///< Guards the keeper and the VM list's history.
-  ConfigKeeper m_keeper;
-  std::size_t m_vm_refusals = 0;
-  std::unique_ptr<PlatformWatcher> m_watcher;
+  ControlPlane m_plane;
   std::unique_ptr<ControlServer> m_control;
   std::atomic<StopPhase> m_phase{StopPhase::kServing};
   TimePoint m_stop_deadline;
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -169,9 +169,12 @@
   settings.region = reader.String("region", "");
   settings.caller_port = ReadPort(reader, "caller_port");
   settings.inner_port = ReadPort(reader, "inner_port");
+  settings.advertised_port = static_cast<std::uint16_t>(
+      reader.Int("advertised_port", kPortRange, settings.inner_port));
   settings.control_port = ReadPort(reader, "control_port");
   settings.entry_threads = static_cast<std::uint32_t>(
       reader.Int("entry_threads", kThreadRange, settings.entry_threads));
+  settings.shared_key = reader.String("shared_key", "");
   settings.max_depth = static_cast<std::uint32_t>(
       reader.Int("max_depth", kDepthRange, settings.max_depth));
   settings.memory_bytes =
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -43,10 +43,12 @@
   std::string region;
   std::uint16_t caller_port = 0;
   std::uint16_t inner_port = 0;
+  std::uint16_t advertised_port = 0;  ///< Inner port as peers reach it.
   std::uint16_t control_port = 0;
   std::string upstream;  ///< Name in the configuration; empty if none.
   std::string upstream_ip;
   std::uint16_t upstream_port = 0;
+  std::string shared_key;  ///< Seals control messages; empty: no seal.
   PlatformAddress config_service;
   PlatformAddress vm_list;
   std::uint32_t entry_threads = 2;
--- a/src/libyuccamast/platform/watcher.cpp
+++ b/src/libyuccamast/platform/watcher.cpp
@@ -81,7 +81,7 @@
       bool read = false;
       std::uint64_t revision = 0;
       const bool alive = shared->Guarded([&] {
-        read = shared->hooks.should_read();
+        read = shared->hooks.reads_config();
         revision = shared->hooks.revision();
         if (read) {
           shared->metrics.Add(Counter::kConfigReads);
@@ -129,7 +129,7 @@
     while (true) {
       bool read = false;
       const bool alive = shared->Guarded([&] {
-        read = shared->hooks.should_read();
+        read = shared->hooks.reads_vms();
         if (read) {
           shared->metrics.Add(Counter::kVmListReads);
         }
--- a/src/libyuccamast/platform/watcher.h
+++ b/src/libyuccamast/platform/watcher.h
@@ -16,8 +16,9 @@
 
 /// Hooks of a watcher; called on its threads.
 struct WatcherHooks {
-  /// Whether this node is to read now. A node that is not reads nothing.
-  std::function<bool()> should_read;
+  /// Whether this node is to read the service, or the list, now.
+  std::function<bool()> reads_config;
+  std::function<bool()> reads_vms;
   /// The revision to wait beyond.
   std::function<std::uint64_t()> revision;
   std::function<void(PublishedConfig)> on_config;
--- a/src/standin/relay.cpp
+++ b/src/standin/relay.cpp
@@ -148,6 +148,8 @@
     : m_io(io),
       m_options(options),
       m_acceptor(io),
+      m_datagrams(io, asio::ip::udp::endpoint(
+                          asio::ip::make_address(options.ip), options.port)),
       m_delay_us(options.delay_us),
       m_control(io,
                 options.ip,
@@ -162,6 +164,30 @@
   m_acceptor.bind(endpoint);
   m_acceptor.listen(1024);
   Accept();
+  ReceiveDatagram();
+}
+
+void FaultRelay::ReceiveDatagram() {
+  m_datagrams.async_receive_from(
+      asio::buffer(m_datagram), m_datagram_from,
+      [this](const error_code& error, std::size_t size) {
+        if (!error && m_mode != RelayMode::kBlack) {
+          ForwardDatagram(size);
+        }
+        ReceiveDatagram();
+      });
+}
+
+void FaultRelay::ForwardDatagram(std::size_t size) {
+  auto bytes = std::make_shared<std::string>(m_datagram.data(), size);
+  auto timer = std::make_shared<asio::steady_timer>(m_io);
+  timer->expires_after(std::chrono::microseconds(m_delay_us));
+  timer->async_wait([this, bytes, timer](const error_code&) {
+    error_code ignored;
+    m_datagrams.send_to(
+        asio::buffer(*bytes),
+        {asio::ip::make_address(m_options.ip), m_options.to}, 0, ignored);
+  });
 }
 
 void FaultRelay::Accept() {
--- a/src/standin/relay.h
+++ b/src/standin/relay.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <memory>
 #include <set>
 #include <string>
@@ -11,7 +13,7 @@
 /// \file relay.h
 /// A fault relay between two TCP ends.
 ///
-/// It forwards bytes and can delay them, stop forwarding without closing
+/// It forwards bytes, and datagrams to the accepting side, and can delay them, stop forwarding without closing
 /// (silence, in one or both directions), reset what is open, or throttle. Its
 /// control port takes `/_standin/set?delay_us=N&mode=MODE&rate=BYTES` with
 /// MODE one of `pass`, `silent` (connections open now go silent for good, new
@@ -44,11 +46,16 @@
 
  private:
   void Accept();
+  void ReceiveDatagram();
+  void ForwardDatagram(std::size_t size);
   void Control(const Request& request, const Respond& respond);
 
   asio::io_context& m_io;
   const RelayOptions m_options;
   tcp::acceptor m_acceptor;
+  asio::ip::udp::socket m_datagrams;
+  asio::ip::udp::endpoint m_datagram_from;
+  std::array<char, 16384> m_datagram{};
   std::set<std::shared_ptr<RelayPair>> m_pairs;
   RelayMode m_mode = RelayMode::kPass;
   std::uint64_t m_delay_us;
--- a/testsuite/support/local_fleet.cpp
+++ b/testsuite/support/local_fleet.cpp
@@ -164,7 +164,7 @@
     const std::vector<std::string>& without,
     const std::vector<std::string>& leaving) const {
   VmList list;
-  list.revision = 1;
+  list.revision = m_vms_revision;
   std::ranges::for_each(m_vms, [&](const LocalVm& vm) {
     if (std::ranges::find(without, vm.spec.vm) != without.end()) {
       return;
@@ -190,6 +190,8 @@
       {"region", vm.spec.region},
       {"caller_port", int{vm.caller_port}},
       {"inner_port", int{vm.inner_port}},
+      {"advertised_port",
+       int{m_spec.relay_inner ? vm.inner_relay_port : vm.inner_port}},
       {"control_port", int{vm.control_port}},
       {"platform", JsonValue::Object{{"config_ip", "127.0.0.1"},
                                      {"config_port", int{m_platform_port}}}}};
@@ -303,6 +305,7 @@
 
 void LocalFleet::PublishVms(const std::vector<std::string>& without,
                             const std::vector<std::string>& leaving) {
+  ++m_vms_revision;
   Request(m_platform_port, "POST", "/_standin/vms",
           VmListText(without, leaving));
 }
--- a/testsuite/support/local_fleet.h
+++ b/testsuite/support/local_fleet.h
@@ -112,6 +112,7 @@
   std::string m_folder;
   std::vector<LocalVm> m_vms;
   std::uint16_t m_platform_port = 0;
+  std::uint64_t m_vms_revision = 1;
   std::unique_ptr<Process> m_platform;
 };
 
