--- a/include/yuccamast/membership/membership.h
+++ b/include/yuccamast/membership/membership.h
@@ -60,8 +60,9 @@
                      const GossipMessage& message)>
       send;
   std::function<std::uint64_t()> random;
-  /// A member's record changed, or it was forgotten.
-  std::function<void()> on_change;
+  /// A member's state, life, address or leaving changed; null stands for a
+  /// change of the set.
+  std::function<void(const Member* member)> on_change;
   /// The sender of a message holds these versions.
   std::function<void(const MemberRecord& holder,
                      const HeldVersion& config,
@@ -151,7 +152,7 @@
   void Reshuffle();
   std::vector<const Member*> RandomMembers(std::size_t count,
                                            const std::string& except) const;
-  void Changed();
+  void Changed(const Member* member = nullptr);
 
   MemberRecord m_self;
   const MembershipOptions m_options;
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -18,7 +18,7 @@
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
                                                          "warning", "error"};
 
-constexpr std::array<std::string_view, 27> kEventNames = {
+constexpr std::array<std::string_view, 28> kEventNames = {
     "node_started",     "node_leaving",         "node_stopped",
     "stop_overrun",     "stop_call_left",       "settings_refused",
     "config_accepted",  "config_refused",       "config_stale",
@@ -27,7 +27,7 @@
     "peer_lost",        "peer_leaving",         "peer_refused",
     "pause_noticed",    "call_refused",         "call_finished",
     "call_retried",     "reply_dropped",        "upstream_fault",
-    "offer_refused",    "caller_refused",       "internal"};
+    "offer_refused",    "caller_refused",       "member_changed", "internal"};
 
 std::atomic<LogLevel> g_lowest{LogLevel::kWarning};
 std::string g_node;  // Written before threads start.
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -48,6 +48,7 @@
   kUpstreamFault,
   kOfferRefused,
   kCallerRefused,
+  kMemberChanged,
   kInternal,
 };
 
--- a/src/libyuccamast/membership/membership.cpp
+++ b/src/libyuccamast/membership/membership.cpp
@@ -22,9 +22,9 @@
   m_self.version = 1;
 }
 
-void Membership::Changed() {
+void Membership::Changed(const Member* member) {
   if (m_hooks.on_change) {
-    m_hooks.on_change();
+    m_hooks.on_change(member);
   }
 }
 
@@ -214,7 +214,7 @@
     Reshuffle();
   }
   if (visible) {
-    Changed();
+    Changed(&member);
   }
 }
 
@@ -289,7 +289,7 @@
   member.record.state = Number(state);
   member.changed_at = now;
   Queue(member.record.vm);
-  Changed();
+  Changed(&member);
 }
 
 void Membership::Reshuffle() {
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -88,7 +88,16 @@
     m_socket.Send(ip, port, message);
   };
   hooks.random = [this] { return m_random(); };
-  hooks.on_change = [this] { m_members_changed = true; };
+  hooks.on_change = [this](const Member* member) {
+    m_members_changed = true;
+    if (member != nullptr) {
+      Log(LogLevel::kInfo, LogEvent::kMemberChanged,
+          {{"vm", member->record.vm},
+           {"state", NameOf(member->state())},
+           {"leaving", member->record.leaving},
+           {"epoch", member->record.epoch}});
+    }
+  };
   hooks.on_versions = [this](const MemberRecord& holder,
                              const HeldVersion& config,
                              const HeldVersion& vm_list) {
--- a/src/yuccamast/commands.h
+++ b/src/yuccamast/commands.h
@@ -18,4 +18,7 @@
 /// `yuccamast dump IP:PORT`
 int RunDump(int argc, char** argv);
 
+/// `yuccamast status IP:PORT`
+int RunStatus(int argc, char** argv);
+
 }  // namespace yuccamast
--- a/src/yuccamast/main.cpp
+++ b/src/yuccamast/main.cpp
@@ -11,6 +11,7 @@
 using yuccamast::RunCheck;
 using yuccamast::RunDump;
 using yuccamast::RunNode;
+using yuccamast::RunStatus;
 
 struct Command {
   std::string_view name;
@@ -18,10 +19,11 @@
   int (*run)(int argc, char** argv);
 };
 
-constexpr std::array<Command, 3> kCommands = {{
+constexpr std::array<Command, 4> kCommands = {{
     {"node", "Run the process beside an upstream.", RunNode},
     {"check", "Merge and check a configuration folder.", RunCheck},
     {"dump", "Print the whole state of a node as JSON.", RunDump},
+    {"status", "Print the fleet as one node sees it.", RunStatus},
 }};
 
 int PrintHelp(std::ostream& out) {
