--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -59,8 +59,13 @@
 
   std::uint32_t own_in_flight() const { return m_own.load(kRelaxed); }
   std::uint32_t reported_total() const { return m_reported.load(kRelaxed); }
-  bool leaving() const { return m_leaving.load(kRelaxed); }
-  void set_leaving(bool leaving) { m_leaving.store(leaving, kRelaxed); }
+  /// Whether it is leaving, by the word of membership or VM list, or by its
+  /// own word in a recent report. A report counts for `kReportedLeaving` only:
+  /// an upstream that gets no calls sends no report that says otherwise.
+  bool Leaving(TimePoint now) const;
+  void SetLeaving(bool leaving) { m_leaving.store(leaving, kRelaxed); }
+
+  static constexpr Duration kReportedLeaving = std::chrono::seconds(2);
 
   /// Decayed number of recent failures.
   double Failures(TimePoint now, const EstimateOptions& options) const;
@@ -91,6 +96,7 @@
   std::atomic<double> m_failures{0};
   std::atomic<std::int64_t> m_failed_at{0};
   std::atomic<bool> m_leaving{false};
+  std::atomic<std::int64_t> m_reported_leaving_at{0};  ///< 0 is never.
 };
 
 }  // namespace yuccamast
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -86,7 +86,7 @@
 
  private:
   bool IsUsable(std::size_t index) const {
-    return !m_candidates[index].state->leaving() &&
+    return !m_candidates[index].state->Leaving(m_context.now) &&
            std::ranges::find(m_excluded, index) == m_excluded.end();
   }
 
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -64,10 +64,16 @@
   m_oldest_short_us.store(report.oldest_short_us, kRelaxed);
   m_reported_at.store(Ticks(now), kRelaxed);
   if (report.leaving) {
-    m_leaving.store(true, kRelaxed);
+    m_reported_leaving_at.store(Ticks(now), kRelaxed);
   }
 }
 
+bool UpstreamState::Leaving(TimePoint now) const {
+  const std::int64_t at = m_reported_leaving_at.load(kRelaxed);
+  const bool reported = at != 0 && now - FromTicks(at) < kReportedLeaving;
+  return reported || m_leaving.load(kRelaxed);
+}
+
 double UpstreamState::ReportedOthers() const {
   const double total = m_reported.load(kRelaxed);
   const double own = m_own_at_report.load(kRelaxed);
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "http/fields.h"
+#include "http/tcp_silence.h"
 #include "log/log.h"
 #include "yuccamast/json_value.h"
 
@@ -44,8 +45,7 @@
       m_hooks(hooks),
       m_memory(budget),
       m_buffer(limits.max_head_bytes + kReadChunk) {
-  error_code ignored;
-  m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  GuardAgainstSilence(m_stream.socket(), m_limits.silence);
 }
 
 void CallerConnection::Start() {
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -51,6 +51,7 @@
   Duration body_timeout = std::chrono::seconds(30);
   Duration idle_timeout = std::chrono::seconds(75);
   Duration write_timeout = std::chrono::seconds(30);
+  Duration silence = std::chrono::seconds(15);
   std::size_t max_connections = 12'000;
 };
 
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "http/fields.h"
+#include "http/tcp_silence.h"
+#include "outcome/planted_fault.h"
 
 namespace yuccamast {
 
@@ -30,7 +32,7 @@
   return run;
 }
 
-UpstreamPool::ConnectionPtr UpstreamPool::TakeIdle(bool idempotent) {
+UpstreamPool::ConnectionPtr UpstreamPool::TakeIdle() {
   const TimePoint now = Clock::now();
   while (!m_idle.empty() && now - m_idle.back()->used_at > m_limits.keep_idle) {
     Drop(m_idle.back());
@@ -39,7 +41,7 @@
     return nullptr;
   }
   const Duration age = now - m_idle.front()->used_at;
-  if (!idempotent && age > m_limits.proven_alive) {
+  if (age > m_limits.proven_alive) {
     return nullptr;
   }
   ConnectionPtr connection = m_idle.front();
@@ -106,7 +108,7 @@
 
 void UpstreamRun::Begin() {
   BuildMessage();
-  m_connection = m_pool.TakeIdle(m_request.idempotent);
+  m_connection = m_pool.TakeIdle();
   if (m_connection != nullptr) {
     m_pool.m_metrics.Add(Counter::kUpstreamReuses);
     // A close that arrived in this instant is still seen before the write.
@@ -140,9 +142,8 @@
           self->Fail(RefusalReason::kUpstreamUnreachable);
           return;
         }
-        error_code ignored;
-        self->m_connection->stream.socket().set_option(tcp::no_delay(true),
-                                                       ignored);
+        GuardAgainstSilence(self->m_connection->stream.socket(),
+                            self->m_pool.m_limits.silence);
         self->Write();
       });
 }
@@ -183,6 +184,11 @@
   if (m_over) {
     return;
   }
+  if (error && IsPlanted(PlantedFault::kResend)) {
+    m_pool.Drop(m_connection);
+    Connect();
+    return;
+  }
   if (error) {
     Fail(ReasonOf(error));
     return;
@@ -216,7 +222,7 @@
   if (m_over) {
     return;
   }
-  if (error) {
+  if (error && !IsPlanted(PlantedFault::kCutReply)) {
     Fail(error == http::error::body_limit ? RefusalReason::kReplyTooLarge
                                           : RefusalReason::kReplyIncomplete);
     return;
@@ -241,10 +247,10 @@
   // Without a length or chunks, the end of the body is the end of the
   // connection, and a cut reply cannot be told from a whole one.
   const auto& message = m_parser->get();
-  const bool framed = m_parser->chunked() || m_parser->content_length() ||
-                      m_request.method == "HEAD" ||
-                      message.result_int() == 204 ||
-                      message.result_int() == 304;
+  const bool framed =
+      IsPlanted(PlantedFault::kCutReply) || m_parser->chunked() ||
+      m_parser->content_length() || m_request.method == "HEAD" ||
+      message.result_int() == 204 || message.result_int() == 304;
   if (!framed) {
     Fail(RefusalReason::kReplyIncomplete);
     return;
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -25,9 +25,9 @@
 /// A request is written to exactly one connection and never written again,
 /// whatever happens to that connection: a second write could be a second run.
 /// A kept connection is watched while it is idle and dropped when the upstream
-/// closes it; a non-idempotent request only takes a kept connection that was
-/// used a moment ago, otherwise a fresh one. A reply counts only when its end
-/// is proven by its length or its last chunk.
+/// closes it; a request only takes a kept connection that was used a moment
+/// ago, otherwise a fresh one, since an older one may have gone silent. A reply
+/// counts only when its end is proven by its length or its last chunk.
 
 namespace yuccamast {
 
@@ -39,6 +39,10 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   Duration keep_idle = std::chrono::seconds(4);
   Duration proven_alive = std::chrono::milliseconds(200);
+  /// A non-idempotent run whose deadline passed is left to finish this long.
+  Duration overrun = std::chrono::seconds(3);
+  /// A connection whose other end does not acknowledge is closed after this.
+  Duration silence = std::chrono::seconds(3);
 };
 
 /// A request to the upstream.
@@ -98,7 +102,7 @@
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  ConnectionPtr TakeIdle(bool idempotent);
+  ConnectionPtr TakeIdle();
   void Keep(const ConnectionPtr& connection);
   void Watch(const ConnectionPtr& connection);
   void Drop(const ConnectionPtr& connection);
--- a/src/libyuccamast/link/client.cpp
+++ b/src/libyuccamast/link/client.cpp
@@ -89,6 +89,14 @@
   }
 }
 
+void LinkClient::OnHeard() {
+  const ClosedHook heard = std::move(m_on_heard);
+  m_on_heard = nullptr;
+  if (heard) {
+    heard();
+  }
+}
+
 void LinkClient::OnGoAway() {
   m_going_away = true;
   if (m_on_change) {
--- a/src/libyuccamast/link/client.h
+++ b/src/libyuccamast/link/client.h
@@ -33,6 +33,9 @@
   /// suspect, received GOAWAY or closed.
   void Run(ClosedHook on_change);
 
+  /// Calls `on_heard` when something is received next.
+  void WhenHeard(ClosedHook on_heard) { m_on_heard = std::move(on_heard); }
+
   /// Sends a whole message. Returns the stream's id, or a negative number if
   /// no stream can be opened; `on_answer` is then not called.
   std::int32_t Send(LinkPath path, std::string bytes, AnswerHook on_answer);
@@ -52,10 +55,12 @@
   void OnClosed() override;
   void OnSuspect() override;
   void OnGoAway() override;
+  void OnHeard() override;
   void Finish(std::int32_t id, StreamOutcome outcome, std::string bytes);
 
   std::map<std::int32_t, AnswerHook> m_hooks;
   ClosedHook m_on_change;
+  ClosedHook m_on_heard;
   bool m_going_away = false;
 };
 
--- a/src/libyuccamast/link/server.cpp
+++ b/src/libyuccamast/link/server.cpp
@@ -16,6 +16,11 @@
   }
 }
 
+bool StreamReply::open() const {
+  const auto server = m_server.lock();
+  return server != nullptr && server->IsOpen(m_id);
+}
+
 void LinkServer::Terminate() {
   if (!closed()) {
     const std::int32_t last = nghttp2_session_get_last_proc_stream_id(raw());
--- a/src/libyuccamast/link/server.h
+++ b/src/libyuccamast/link/server.h
@@ -25,6 +25,9 @@
   /// Refuses the stream with the proof that it was not processed.
   void Refuse() const;
 
+  /// Whether the peer still waits for the answer.
+  bool open() const;
+
  private:
   std::weak_ptr<LinkServer> m_server;
   std::int32_t m_id;
@@ -62,6 +65,7 @@
  private:
   friend class StreamReply;
 
+  bool IsOpen(std::int32_t id) { return FindStream(id) != nullptr; }
   void Answer(std::int32_t id, std::string bytes);
   void Refuse(std::int32_t id);
   std::uint64_t KeyOf(std::int32_t id) const;
--- a/src/libyuccamast/link/session.cpp
+++ b/src/libyuccamast/link/session.cpp
@@ -229,9 +229,21 @@
     Close();
     return;
   }
+  OnHeard();
   Flush();
 }
 
+void LinkSession::PingNow() {
+  if (m_ping_open || m_closed) {
+    return;
+  }
+  m_ping_open = true;
+  m_ping_sent_at = Clock::now();
+  nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+  Flush();
+  ArmPing();
+}
+
 void LinkSession::Flush() {
   if (m_closed || m_write_pending || m_in_receive || m_in_send) {
     return;
@@ -334,11 +346,8 @@
     OnSuspect();
   }
   const bool quiet = now - m_heard_at >= m_options.ping_busy;
-  if (!m_ping_open && quiet && !m_closed) {
-    m_ping_open = true;
-    m_ping_sent_at = now;
-    nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
-    Flush();
+  if (quiet) {
+    PingNow();
   }
   if (!m_closed) {
     ArmPing();
--- a/src/libyuccamast/link/session.h
+++ b/src/libyuccamast/link/session.h
@@ -64,6 +64,12 @@
   bool suspect() const { return m_suspect; }
   std::size_t open_streams() const { return m_streams.size(); }
 
+  /// Time since anything was received.
+  Duration HeardAge(TimePoint now) const { return now - m_heard_at; }
+
+  /// Asks for a sign of life now, unless one is asked for already.
+  void PingNow();
+
   /// Smoothed round trip of PING; zero before the first answer.
   Duration round_trip() const { return m_round_trip; }
   tcp::endpoint remote() const { return m_remote; }
@@ -103,6 +109,7 @@
   virtual void OnClosed() = 0;
   virtual void OnSuspect() {}
   virtual void OnGoAway() {}
+  virtual void OnHeard() {}
 
   const LinkOptions m_options;
   tcp::socket m_socket;
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -49,6 +49,7 @@
   kOfferRefused,
   kCallerRefused,
   kMemberChanged,
+  kUpstreamDraining,
   kInternal,
 };
 
--- a/src/libyuccamast/membership/reader_rank.cpp
+++ b/src/libyuccamast/membership/reader_rank.cpp
@@ -20,8 +20,10 @@
   const auto above =
       std::ranges::count_if(membership.members(), [&](const auto& item) {
         const Member& member = item.second;
-        const bool reads = member.state() == MemberState::kLive &&
-                           !member.record.leaving && member.record.epoch != 0;
+        // A member that has not spoken yet counts: were it left out, every
+        // node of a fleet that starts at once would read.
+        const bool reads =
+            member.state() == MemberState::kLive && !member.record.leaving;
         return reads && member.record.data_centre == self.data_centre &&
                RankOf(item.first) > own;
       });
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -122,9 +122,8 @@
   hooks.reads_vms = [this] { return m_reads_vms.load(); };
   hooks.revision = [this] { return m_wait_beyond.load(); };
   hooks.on_config = [this](PublishedConfig config) {
-    asio::post(m_io, [this, config = std::move(config)] {
-      OnServiceConfig(config);
-    });
+    asio::post(m_io,
+               [this, config = std::move(config)] { OnServiceConfig(config); });
   };
   hooks.on_vms = [this](VmList list) {
     asio::post(m_io, [this, list = std::move(list)]() mutable {
@@ -166,8 +165,7 @@
   fetching = true;
   auto& link = m_links[{address, holder.port}];
   if (link == nullptr) {
-    link = std::make_shared<PeerLink>(m_io,
-                                      tcp::endpoint(address, holder.port),
+    link = std::make_shared<PeerLink>(m_io, tcp::endpoint(address, holder.port),
                                       m_settings.link, m_metrics);
   }
   const HeldRequest request{static_cast<std::uint8_t>(kind)};
@@ -246,15 +244,15 @@
       OnConfigAccepted();
       break;
     case ConfigVerdict::kRefused:
-      std::ranges::for_each(
-          m_keeper.refused_errors(), [&](const ConfigError& error) {
-            Log(LogLevel::kError, LogEvent::kConfigRefused,
-                {{"revision", config.revision},
-                 {"file", error.file},
-                 {"key", error.key},
-                 {"fault", NameOf(error.fault)},
-                 {"detail", error.detail}});
-          });
+      std::ranges::for_each(m_keeper.refused_errors(),
+                            [&](const ConfigError& error) {
+                              Log(LogLevel::kError, LogEvent::kConfigRefused,
+                                  {{"revision", config.revision},
+                                   {"file", error.file},
+                                   {"key", error.key},
+                                   {"fault", NameOf(error.fault)},
+                                   {"detail", error.detail}});
+                            });
       break;
     case ConfigVerdict::kOlder:
       if (!m_config_stale_logged) {
@@ -308,11 +306,11 @@
   m_vm_version = version;
   m_vms = std::make_shared<const VmList>(std::move(list));
   std::vector<ListedMember> listed;
-  std::ranges::transform(
-      m_vms->vms, std::back_inserter(listed), [](const VmRecord& vm) {
-        return ListedMember{vm.id, vm.ip, vm.inner_port, vm.data_centre,
-                            vm.region};
-      });
+  std::ranges::transform(m_vms->vms, std::back_inserter(listed),
+                         [](const VmRecord& vm) {
+                           return ListedMember{vm.id, vm.ip, vm.inner_port,
+                                               vm.data_centre, vm.region};
+                         });
   const TimePoint now = Clock::now();
   m_membership.SetVmList(version);
   m_membership.SetListed(listed, now);
@@ -398,8 +396,8 @@
   }
   CheckOld(now);
   const bool reader = m_vms != nullptr && IsReader(m_membership);
-  const bool starved = m_keeper.in_force() == nullptr &&
-                       now - m_started_at >= kReadAnyway;
+  const bool starved =
+      m_keeper.in_force() == nullptr && now - m_started_at >= kReadAnyway;
   m_reads_config = reader || starved;
   m_reads_vms = reader || m_vms == nullptr;
   if (m_unjoined_config && Joined()) {
@@ -409,8 +407,8 @@
   }
 }
 
-void ControlPlane::BeginLeaving() {
-  m_membership.SetLeaving(true);
+void ControlPlane::SetLeaving(bool leaving) {
+  m_membership.SetLeaving(leaving);
   m_membership.Announce();
 }
 
@@ -427,14 +425,14 @@
   const ConfigVersion version = m_keeper.version();
   const TimePoint now = Clock::now();
   JsonValue::Array errors;
-  std::ranges::transform(
-      m_keeper.refused_errors(), std::back_inserter(errors),
-      [](const ConfigError& error) {
-        return JsonValue::Object{{"file", error.file},
-                                 {"key", error.key},
-                                 {"fault", NameOf(error.fault)},
-                                 {"detail", error.detail}};
-      });
+  std::ranges::transform(m_keeper.refused_errors(), std::back_inserter(errors),
+                         [](const ConfigError& error) {
+                           return JsonValue::Object{
+                               {"file", error.file},
+                               {"key", error.key},
+                               {"fault", NameOf(error.fault)},
+                               {"detail", error.detail}};
+                         });
   return JsonValue::Object{
       {"revision", version.revision},
       {"digest", version.digest},
@@ -455,18 +453,18 @@
   JsonValue::Array members;
   const auto add = [&](const MemberRecord& record, std::string_view state,
                        bool listed, std::int64_t heard_ms) {
-    members.push_back(JsonValue::Object{
-        {"vm", record.vm},
-        {"ip", record.ip},
-        {"inner_port", int{record.port}},
-        {"data_centre", record.data_centre},
-        {"region", record.region},
-        {"state", state},
-        {"leaving", record.leaving},
-        {"listed", listed},
-        {"epoch", record.epoch},
-        {"config_revision", record.config_revision},
-        {"heard_ms", heard_ms}});
+    members.push_back(
+        JsonValue::Object{{"vm", record.vm},
+                          {"ip", record.ip},
+                          {"inner_port", int{record.port}},
+                          {"data_centre", record.data_centre},
+                          {"region", record.region},
+                          {"state", state},
+                          {"leaving", record.leaving},
+                          {"listed", listed},
+                          {"epoch", record.epoch},
+                          {"config_revision", record.config_revision},
+                          {"heard_ms", heard_ms}});
   };
   add(m_membership.self(), "self", true, 0);
   for (const auto& [vm, member] : m_membership.members()) {
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -50,8 +50,8 @@
   /// Opens the socket and starts to read. Throws if the port is taken.
   void Start();
 
-  /// Tells peers that this node is leaving.
-  void BeginLeaving();
+  /// Tells peers whether this node takes new calls.
+  void SetLeaving(bool leaving);
 
   void Close();
 
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -1,6 +1,7 @@
 #include "node/entry_call.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 #include "http/fields.h"
 #include "log/log.h"
@@ -12,6 +13,9 @@
 /// Beyond the deadline, the exit's word is waited for this long at least.
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(10);
 
+/// Time after which an exit that refused for a pause is offered to again.
+constexpr Duration kPausedWait = std::chrono::milliseconds(80);
+
 /// Shortest remaining time that is worth an offer.
 constexpr Duration kLeastTime = std::chrono::milliseconds(1);
 
@@ -86,7 +90,25 @@
   return std::nullopt;
 }
 
+void EntryCall::AtStep(CallStep step, std::function<void()> go) {
+  if (!m_context.at_step) {
+    go();
+    return;
+  }
+  m_context.at_step(step, m_request.target,
+                    [&io = m_context.io, self = shared_from_this(),
+                     go = std::move(go)] { asio::post(io, go); });
+}
+
 void EntryCall::Begin() {
+  AtStep(CallStep::kReceived, [self = shared_from_this()] {
+    if (!self->m_over) {
+      self->MatchAndTry();
+    }
+  });
+}
+
+void EntryCall::MatchAndTry() {
   if (const auto reason = Match()) {
     Refuse(*reason);
     return;
@@ -94,7 +116,11 @@
   m_life.MoveTo(CallStep::kMatched);
   m_service->retries->OnFirstAttempt(m_service->service.retry_share);
   ArmDeadline();
-  TryNext(RefusalReason::kNoUpstream);
+  AtStep(CallStep::kMatched, [self = shared_from_this()] {
+    if (!self->m_over) {
+      self->TryNext(RefusalReason::kNoUpstream);
+    }
+  });
 }
 
 void EntryCall::ArmDeadline() {
@@ -121,6 +147,10 @@
   choice.prior_others = SamplePrior(m_service->candidates, random);
   const auto member = Choose(m_service->service.policy, m_service->candidates,
                              m_tried, choice, random);
+  if (!member && if_none == RefusalReason::kPaused && m_offers < kMaxOffers) {
+    TryAgainSoon(if_none);
+    return;
+  }
   if (!member || m_offers >= kMaxOffers) {
     if (m_fallback) {
       Deliver(std::move(*m_fallback), Duration::zero());
@@ -130,7 +160,11 @@
     return;
   }
   m_life.MoveTo(CallStep::kChosen);
-  Offer(*member);
+  AtStep(CallStep::kChosen, [self = shared_from_this(), member = *member] {
+    if (!self->m_over) {
+      self->Offer(member);
+    }
+  });
 }
 
 Duration EntryCall::ReplyMargin(const Attempt& attempt) const {
@@ -175,6 +209,7 @@
                                                 const std::string& bytes) {
     self->OnAnswer(outcome, bytes);
   };
+  hooks.needs_live_connection = !m_rule->idempotent;
   hooks.on_suspect = [self = shared_from_this()] { self->OnSuspect(); };
   m_attempt.offer = m_attempt.link->Send(
       LinkPath::kCall, Pack(BuildOffer(m_attempt)), std::move(hooks));
@@ -255,6 +290,19 @@
   TryNext(reason);
 }
 
+void EntryCall::TryAgainSoon(RefusalReason reason) {
+  // An exit that woke from a pause takes calls again in a moment.
+  m_tried.clear();
+  auto timer = std::make_shared<asio::steady_timer>(m_context.io);
+  timer->expires_after(kPausedWait);
+  timer->async_wait([self = shared_from_this(), timer,
+                     reason](const boost::system::error_code&) {
+    if (!self->m_over) {
+      self->TryNext(reason);
+    }
+  });
+}
+
 bool EntryCall::MayRetry() {
   if (m_below_retry || m_offers >= kMaxOffers) {
     return false;
@@ -309,6 +357,7 @@
 
 void EntryCall::CallerGone() {
   if (m_over) {
+    m_done = nullptr;
     return;
   }
   if (m_attempt.open) {
@@ -334,10 +383,15 @@
          {"us", Micros(took)},
          {"offers", m_offers}});
   }
-  const Done done = std::move(m_done);
-  m_done = nullptr;
   Finish();
-  done({m_id, std::move(reply)});
+  AtStep(CallStep::kRelayed,
+         [self = shared_from_this(), reply = std::move(reply)] {
+           const Done done = std::move(self->m_done);
+           self->m_done = nullptr;
+           if (done) {
+             done({self->m_id, reply});
+           }
+         });
 }
 
 void EntryCall::Refuse(RefusalReason reason) {
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -13,6 +13,7 @@
 #include "node/fleet_view.h"
 #include "node/peer_link.h"
 #include "node/settings.h"
+#include "outcome/step_hook.h"
 #include "yuccamast/outcome/call_life.h"
 
 /// \file entry_call.h
@@ -29,7 +30,7 @@
 namespace yuccamast {
 
 /// Offers of one call, moves and retries together.
-inline constexpr std::size_t kMaxOffers = 3;
+inline constexpr std::size_t kMaxOffers = 4;
 
 /// What the calls of one entry thread share. Used on that thread only.
 struct EntryContext {
@@ -44,6 +45,7 @@
   std::function<std::shared_ptr<PeerLink>(const tcp::endpoint&)> link;
   /// Whether the view of the world is too old to route by.
   std::function<bool()> view_is_old;
+  const StepHook& at_step;
 };
 
 /// Use from the entry's thread only.
@@ -76,6 +78,8 @@
     bool open = false;
   };
 
+  void AtStep(CallStep step, std::function<void()> go);
+  void MatchAndTry();
   std::optional<RefusalReason> Match();
   std::optional<RefusalReason> ReadOwnFields();
   void ArmDeadline();
@@ -86,6 +90,7 @@
   void OnAnswer(StreamOutcome outcome, const std::string& bytes);
   void OnWord(AnswerMessage answer);
   void OnRefusal(RefusalReason reason);
+  void TryAgainSoon(RefusalReason reason);
   void OnUnknown(RefusalReason reason);
   void OnSuspect();
   void OnDeadline();
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -47,7 +47,8 @@
                 0,
                 {},
                 {},
-                {}},
+                {},
+                shared.at_step},
       m_pause(kPauseGap, kSettle, Clock::now()) {
   std::seed_seq seed{boot_id, boot_id >> 32U};
   m_context.random.seed(seed);
@@ -175,7 +176,7 @@
   auto& link = m_links[endpoint];
   if (link == nullptr) {
     link = std::make_shared<PeerLink>(m_io, endpoint, m_shared.settings.link,
-                                      m_shared.metrics);
+                                      m_shared.metrics, ++m_link_generation);
   }
   return link;
 }
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -16,6 +16,7 @@
 #include "http/memory_budget.h"
 #include "node/entry_call.h"
 #include "node/peer_link.h"
+#include "outcome/step_hook.h"
 #include "yuccamast/membership/pause_detector.h"
 
 /// \file entry_worker.h
@@ -34,6 +35,7 @@
   FleetStore& store;
   Metrics& metrics;
   MemoryBudget& budget;
+  const StepHook& at_step;
   std::atomic<bool> leaving{false};
   std::atomic<std::size_t> connections{0};
 };
@@ -86,6 +88,7 @@
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_callers;
   std::unordered_map<EntryCall*, std::shared_ptr<EntryCall>> m_calls;
   std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
+  std::uint64_t m_link_generation = 0;
   std::shared_ptr<const VmList> m_links_checked_for;
   std::thread m_thread;
 };
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -5,6 +5,7 @@
 
 #include "http/fields.h"
 #include "log/log.h"
+#include "outcome/planted_fault.h"
 
 namespace yuccamast {
 
@@ -14,9 +15,6 @@
 constexpr Duration kPauseGap = std::chrono::milliseconds(300);
 constexpr Duration kSettle = std::chrono::milliseconds(50);
 
-/// A non-idempotent run whose deadline passed is left to finish this long.
-constexpr Duration kOverrun = std::chrono::seconds(30);
-
 /// Lives of peers' processes whose sequence windows are kept.
 constexpr std::size_t kMaxWindows = 8192;
 
@@ -74,6 +72,23 @@
         tcp::endpoint(asio::ip::make_address(settings.upstream_ip),
                       settings.upstream_port),
         settings.upstream_limits, metrics);
+    m_watch = std::make_unique<UpstreamWatch>(
+        io, m_upstream->endpoint(), settings.health_path,
+        [this](bool draining) { OnDraining(draining); });
+  }
+}
+
+void ExitCalls::Start() {
+  ArmTick();
+  if (m_watch != nullptr) {
+    m_watch->Start();
+  }
+}
+
+void ExitCalls::OnDraining(bool draining) {
+  Log(LogLevel::kInfo, LogEvent::kUpstreamDraining, {{"draining", draining}});
+  if (m_on_leaving) {
+    m_on_leaving(leaving());
   }
 }
 
@@ -107,7 +122,7 @@
     m_metrics.Add(Counter::kOffersRepeated);
     return RefusalReason::kStaleOffer;
   }
-  if (m_leaving) {
+  if (leaving()) {
     return RefusalReason::kLeaving;
   }
   if (m_pause.Settling(now)) {
@@ -138,6 +153,16 @@
   m_admission.SetLimits(limits);
 }
 
+void ExitCalls::AtStep(CallStep step,
+                       const std::string& target,
+                       std::function<void()> go) {
+  if (!m_at_step) {
+    go();
+    return;
+  }
+  m_at_step(step, target, [this, go = std::move(go)] { asio::post(m_io, go); });
+}
+
 void ExitCalls::Offer(const std::string& bytes,
                       const StreamReply& reply,
                       std::uint64_t key) {
@@ -150,22 +175,35 @@
     reply.Refuse();
     return;
   }
-  if (const auto reason = CheckOffer(*offer, now)) {
+  const std::string target = offer->target;
+  AtStep(CallStep::kOffered, target,
+         [this, offer = std::move(*offer), reply, key] {
+           if (reply.open()) {
+             Process(offer, reply, key);
+           }
+         });
+}
+
+void ExitCalls::Process(OfferMessage offer,
+                        const StreamReply& reply,
+                        std::uint64_t key) {
+  const TimePoint now = Clock::now();
+  if (const auto reason = CheckOffer(offer, now)) {
     Log(LogLevel::kDebug, LogEvent::kOfferRefused,
-        {{"call", offer->call_id}, {"reason", InfoOf(*reason).name}});
+        {{"call", offer.call_id}, {"reason", InfoOf(*reason).name}});
     AnswerRefusal(reply, *reason);
     return;
   }
   auto call = std::make_shared<Call>(m_io, reply, m_budget);
-  if (!call->memory.GrowTo(offer->body.size())) {
+  if (!call->memory.GrowTo(offer.body.size())) {
     AnswerRefusal(reply, RefusalReason::kMemoryFull);
     return;
   }
   call->ticket = ++m_last_ticket;
   call->key = key;
   call->received_at = now;
-  call->deadline = now + std::chrono::microseconds(offer->remaining_us);
-  call->offer = std::move(*offer);
+  call->deadline = now + std::chrono::microseconds(offer.remaining_us);
+  call->offer = std::move(offer);
   Admit(call, now);
 }
 
@@ -189,7 +227,13 @@
   m_calls[call->ticket] = call;
   m_by_key[call->key] = call->ticket;
   if (decision.verdict == AdmissionVerdict::kStart) {
-    StartRun(call);
+    call->has_slot = true;
+    ArmDeadline(call);
+    AtStep(CallStep::kAdmitted, call->offer.target, [this, call] {
+      if (call->life.step() == CallStep::kAdmitted) {
+        StartRun(call);
+      }
+    });
   } else if (m_admission.queued() == 1) {
     ArmTick();
   }
@@ -216,8 +260,7 @@
   return request;
 }
 
-void ExitCalls::StartRun(const CallPtr& call) {
-  call->has_slot = true;
+void ExitCalls::ArmDeadline(const CallPtr& call) {
   call->deadline_timer.expires_at(call->deadline);
   call->deadline_timer.async_wait(
       [this, call](const boost::system::error_code& error) {
@@ -225,6 +268,9 @@
           OnDeadline(call);
         }
       });
+}
+
+void ExitCalls::StartRun(const CallPtr& call) {
   UpstreamHooks hooks;
   hooks.start = [this, call] {
     if (!call->life.TryStart()) {
@@ -247,11 +293,19 @@
 }
 
 void ExitCalls::OnRunDone(const CallPtr& call, UpstreamResult result) {
+  AtStep(CallStep::kAnswered, call->offer.target,
+         [this, call, result = std::move(result)] {
+           if (m_calls.contains(call->ticket)) {
+             FinishRun(call, result);
+           }
+         });
+}
+
+void ExitCalls::FinishRun(const CallPtr& call, UpstreamResult result) {
   const TimePoint now = Clock::now();
   HttpReply* whole = std::get_if<HttpReply>(&result);
-  if (whole != nullptr && FindField(whole->fields, kLeavingField) != nullptr &&
-      !m_leaving) {
-    asio::post(m_io, [this] { StartLeaving(); });
+  if (whole != nullptr && FindField(whole->fields, kLeavingField) != nullptr) {
+    m_watch->OnSign();
   }
   if (whole != nullptr && IsShed(*whole)) {
     result = RefusalReason::kUpstreamShed;
@@ -259,6 +313,9 @@
   }
   const Duration service = now - call->started_at;
   const bool started = call->life.step() == CallStep::kStarted;
+  if (whole == nullptr && IsPlanted(PlantedFault::kSlotLeak)) {
+    call->has_slot = false;
+  }
   ReleaseSlot(call, started && whole != nullptr && whole->status < 500);
   AnswerMessage answer;
   if (whole != nullptr) {
@@ -329,7 +386,9 @@
   }
   if (call->life.TryCancel()) {
     // It had a slot and was connecting, but nothing was written yet.
-    call->run->Abort();
+    if (call->run != nullptr) {
+      call->run->Abort();
+    }
     ReleaseSlot(call, false);
     RefuseCall(call, RefusalReason::kDeadlineNotRun);
     StartQueued();
@@ -338,10 +397,12 @@
   const bool first = !call->told;
   if (first) {
     call->told = true;
-    AnswerRefusal(call->reply, RefusalReason::kDeadlineUnknown);
+    AnswerRefusal(call->reply, IsPlanted(PlantedFault::kFalseClaim)
+                                   ? RefusalReason::kDeadlineNotRun
+                                   : RefusalReason::kDeadlineUnknown);
   }
   if (first && !call->offer.idempotent) {
-    call->deadline_timer.expires_after(kOverrun);
+    call->deadline_timer.expires_after(m_settings.upstream_limits.overrun);
     call->deadline_timer.async_wait(
         [this, call](const boost::system::error_code& error) {
           if (!error) {
@@ -358,7 +419,7 @@
 
 void ExitCalls::Cancel(std::uint64_t key) {
   const auto found = m_by_key.find(key);
-  if (found == m_by_key.end()) {
+  if (found == m_by_key.end() || IsPlanted(PlantedFault::kLostCancel)) {
     return;
   }
   const CallPtr call = m_calls.at(found->second);
@@ -380,7 +441,10 @@
 
 void ExitCalls::StartQueued() {
   while (const auto ticket = m_admission.StartNext(Clock::now())) {
-    StartRun(m_calls.at(*ticket));
+    const CallPtr call = m_calls.at(*ticket);
+    call->has_slot = true;
+    ArmDeadline(call);
+    StartRun(call);
   }
 }
 
@@ -405,10 +469,10 @@
 }
 
 void ExitCalls::StartLeaving() {
-  if (m_leaving) {
+  if (m_stopping) {
     return;
   }
-  m_leaving = true;
+  m_stopping = true;
   Log(LogLevel::kInfo, LogEvent::kNodeLeaving, {{"calls", m_calls.size()}});
 }
 
@@ -422,7 +486,7 @@
       static_cast<std::uint32_t>(Micros(m_admission.short_service()));
   report.oldest_short_us =
       static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
-  report.leaving = m_leaving;
+  report.leaving = leaving();
   return report;
 }
 
@@ -450,7 +514,8 @@
   });
   return JsonValue::Object{
       {"upstream", m_settings.upstream},
-      {"leaving", m_leaving},
+      {"leaving", leaving()},
+      {"upstream_draining", Draining()},
       {"slots", m_admission.limits().slots},
       {"running", m_admission.running()},
       {"running_long", m_admission.running_long()},
@@ -468,6 +533,7 @@
   m_closed = true;
   m_tick.cancel();
   if (m_upstream != nullptr) {
+    m_watch->Stop();
     m_upstream->CloseIdle();
   }
 }
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -10,9 +10,11 @@
 
 #include "http/memory_budget.h"
 #include "http/upstream_pool.h"
+#include "http/upstream_watch.h"
 #include "link/server.h"
 #include "node/fleet_view.h"
 #include "node/settings.h"
+#include "outcome/step_hook.h"
 #include "yuccamast/admission/admission.h"
 #include "yuccamast/membership/pause_detector.h"
 #include "yuccamast/outcome/call_life.h"
@@ -40,7 +42,7 @@
   ~ExitCalls();
 
   /// Begins to expire queued calls. Call once.
-  void Start() { ArmTick(); }
+  void Start();
 
   /// Takes an offer as it was read from a peer. `key` names it in `Cancel`.
   void Offer(const std::string& bytes,
@@ -50,9 +52,20 @@
   /// The entry gave the offer up or is gone.
   void Cancel(std::uint64_t key);
 
-  /// Refuses new offers from now on; queued and running calls go on.
+  /// Lets a test hold calls; set before the first offer.
+  void SetStepHook(StepHook hook) { m_at_step = std::move(hook); }
+
+  /// Called when `leaving` changes; set before the first offer.
+  void SetLeavingHook(std::function<void(bool leaving)> hook) {
+    m_on_leaving = std::move(hook);
+  }
+
+  /// The node is stopping: new offers are refused, calls held go on.
   void StartLeaving();
-  bool leaving() const { return m_leaving; }
+
+  /// Whether new offers are refused, because the node is stopping or the
+  /// upstream drains.
+  bool leaving() const { return m_stopping || Draining(); }
 
   /// Whether no call is held.
   bool Drained() const { return m_calls.empty(); }
@@ -70,6 +83,12 @@
   struct Call;
   using CallPtr = std::shared_ptr<Call>;
 
+  void AtStep(CallStep step,
+              const std::string& target,
+              std::function<void()> go);
+  void Process(OfferMessage offer, const StreamReply& reply, std::uint64_t key);
+  void ArmDeadline(const CallPtr& call);
+  void FinishRun(const CallPtr& call, UpstreamResult result);
   std::optional<RefusalReason> CheckOffer(const OfferMessage& offer,
                                           TimePoint now);
   void Admit(const CallPtr& call, TimePoint now);
@@ -86,6 +105,8 @@
   void CheckPause(TimePoint now);
   void RefreshLimits();
   UpstreamRequest BuildRequest(Call& call) const;
+  bool Draining() const { return m_watch != nullptr && m_watch->draining(); }
+  void OnDraining(bool draining);
   bool IsShed(const HttpReply& reply) const;
 
   boost::asio::io_context& m_io;
@@ -100,10 +121,13 @@
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_by_key;
   std::map<std::pair<std::string, std::uint64_t>, SequenceWindow> m_windows;
+  StepHook m_at_step;
   CallTicket m_last_ticket = 0;
   boost::asio::steady_timer m_tick;
   PauseDetector m_pause;
-  bool m_leaving = false;
+  std::function<void(bool)> m_on_leaving;
+  std::unique_ptr<UpstreamWatch> m_watch;
+  bool m_stopping = false;
   bool m_closed = false;
 };
 
--- a/src/libyuccamast/node/fleet_view.cpp
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -65,6 +65,19 @@
   return found == m_liveness->end() ? Liveness{} : found->second;
 }
 
+bool FleetStore::ListLeaving(const VmRecord& vm, std::uint64_t epoch) {
+  if (!vm.leaving) {
+    m_list_leaving.erase(vm.id);
+    return false;
+  }
+  std::uint64_t& left = m_list_leaving[vm.id];
+  if (left == 0) {
+    left = epoch;
+  }
+  // The list lags: a later life of the node knows better.
+  return epoch <= left;
+}
+
 Candidate FleetStore::MakeCandidate(const std::string& key,
                                     const VmRecord& vm,
                                     const Liveness& liveness) {
@@ -73,9 +86,7 @@
   if (state == nullptr) {
     state = std::make_shared<UpstreamState>(Clock::now(), !first_view);
   }
-  if (vm.leaving || liveness.leaving) {
-    state->set_leaving(true);
-  }
+  state->SetLeaving(liveness.leaving || ListLeaving(vm, liveness.epoch));
   return {state, DistanceTo(vm)};
 }
 
@@ -122,7 +133,8 @@
     used[key] = candidate.state;
     service.candidates.push_back(std::move(candidate));
     service.members.push_back(
-        {name, vm->id,
+        {name,
+         vm->id,
          {boost::asio::ip::make_address(vm->ip), vm->inner_port}});
     gone[upstream.service].push_back(liveness.gone);
   }
@@ -150,7 +162,7 @@
           {"service", name},
           {"upstream", service.members[i].upstream},
           {"vm", service.members[i].vm},
-          {"leaving", state.leaving()},
+          {"leaving", state.Leaving(now)},
           {"own_in_flight", state.own_in_flight()},
           {"reported_in_flight", state.reported_total()},
           {"report_age_us", age_us},
--- a/src/libyuccamast/node/fleet_view.h
+++ b/src/libyuccamast/node/fleet_view.h
@@ -83,6 +83,7 @@
                           const VmRecord& vm,
                           const Liveness& liveness);
   Liveness LivenessOf(const std::string& vm) const;
+  bool ListLeaving(const VmRecord& vm, std::uint64_t epoch);
   static void DropGone(ServiceView& service, const std::vector<bool>& gone);
   Duration DistanceTo(const VmRecord& vm) const;
 
@@ -95,6 +96,8 @@
   std::atomic<bool> m_old{false};
   std::map<std::string, std::shared_ptr<UpstreamState>> m_states;
   std::map<std::string, std::shared_ptr<RetryBudget>> m_retries;
+  /// Life of a node when the list first said that its VM is leaving.
+  std::map<std::string, std::uint64_t> m_list_leaving;
 };
 
 }  // namespace yuccamast
--- a/src/libyuccamast/node/gossip_socket.cpp
+++ b/src/libyuccamast/node/gossip_socket.cpp
@@ -41,8 +41,8 @@
 void GossipSocket::OnDatagram(std::size_t size) {
   m_metrics.Add(Counter::kControlMessagesReceived);
   m_metrics.Add(Counter::kControlBytesReceived, size);
-  const auto bytes = Unseal(m_settings.shared_key,
-                            std::string(m_buffer.data(), size));
+  const auto bytes =
+      Unseal(m_settings.shared_key, std::string(m_buffer.data(), size));
   const auto message = bytes && m_accept(m_from.address().to_string())
                            ? Unpack<GossipMessage>(*bytes)
                            : std::nullopt;
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -23,13 +23,14 @@
 
 }  // namespace
 
-Node::Node(NodeSettings settings)
+Node::Node(NodeSettings settings, NodeHooks hooks)
     : m_settings(std::move(settings)),
+      m_hooks(std::move(hooks)),
       m_boot_id(NewBootId()),
       m_started_at(Clock::now()),
       m_budget(m_settings.memory_bytes),
       m_store(m_settings),
-      m_entry{m_settings, m_store, m_metrics, m_budget},
+      m_entry{m_settings, m_store, m_metrics, m_budget, m_hooks.at_step},
       m_exit_io(1),
       m_signals(m_control_io),
       m_stop_timer(m_control_io),
@@ -58,6 +59,10 @@
 void Node::StartFaces() {
   m_exit = std::make_unique<ExitFace>(m_exit_io, m_settings, m_store, m_metrics,
                                       m_budget, m_boot_id);
+  m_exit->calls().SetLeavingHook([this](bool leaving) {
+    asio::post(m_control_io, [this, leaving] { m_plane.SetLeaving(leaving); });
+  });
+  m_exit->calls().SetStepHook(m_hooks.at_step);
   m_exit->SetControlHook(
       [this](std::string bytes) { return m_plane.Serve(std::move(bytes)); });
   m_exit->Listen();
@@ -113,7 +118,7 @@
   m_phase = StopPhase::kAnnouncing;
   m_entry.leaving = true;
   RunOnExit([this] { m_exit->calls().StartLeaving(); });
-  m_plane.BeginLeaving();
+  m_plane.SetLeaving(true);
   m_stop_timer.expires_after(m_settings.stop.announce);
   m_stop_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -217,6 +222,11 @@
     return {ready && serving ? 200U : 503U, "text/plain",
             !ready ? "no configuration\n" : (serving ? "ok\n" : "leaving\n")};
   }
+  if (m_hooks.page) {
+    if (const auto reply = m_hooks.page(path)) {
+      return *reply;
+    }
+  }
   return {404, "text/plain", "unknown page\n"};
 }
 
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "node/entry_worker.h"
 #include "node/exit_face.h"
 #include "node/settings.h"
+#include "outcome/step_hook.h"
 #include "platform/control_server.h"
 
 /// \file node.h
@@ -22,10 +24,17 @@
 
 namespace yuccamast {
 
+/// What a test may hang into a node. Empty hooks cost one branch a step.
+struct NodeHooks {
+  StepHook at_step;
+  /// Answers further pages of the control address; nothing means unknown.
+  std::function<std::optional<ControlReply>(const std::string& path)> page;
+};
+
 /// Runs from `Run` until a planned stop is over.
 class Node {
  public:
-  explicit Node(NodeSettings settings);
+  explicit Node(NodeSettings settings, NodeHooks hooks = {});
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -55,6 +64,7 @@
   JsonValue Dump();
 
   const NodeSettings m_settings;
+  const NodeHooks m_hooks;
   const std::uint64_t m_boot_id;
   const TimePoint m_started_at;
   Metrics m_metrics;
--- a/src/libyuccamast/node/peer_link.cpp
+++ b/src/libyuccamast/node/peer_link.cpp
@@ -13,6 +13,12 @@
 /// After a failed connect, offers fail at once for this long.
 constexpr Duration kConnectPause = std::chrono::milliseconds(100);
 
+/// Offers that one generation of a link can number.
+constexpr unsigned kGenerationShift = 40;
+
+/// A connection that was heard within this time counts as alive.
+constexpr Duration kProvenAlive = std::chrono::milliseconds(300);
+
 std::string TextOf(const tcp::endpoint& endpoint) {
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
@@ -22,12 +28,14 @@
 PeerLink::PeerLink(boost::asio::io_context& io,
                    tcp::endpoint endpoint,
                    const LinkOptions& options,
-                   Metrics& metrics)
+                   Metrics& metrics,
+                   std::uint64_t generation)
     : m_io(io),
       m_endpoint(std::move(endpoint)),
       m_options(options),
       m_metrics(metrics),
-      m_connect_timer(io) {}
+      m_connect_timer(io),
+      m_sequence(generation << kGenerationShift) {}
 
 OfferId PeerLink::Send(LinkPath path, std::string bytes, OfferHooks hooks) {
   const OfferId id = ++m_last_id;
@@ -35,10 +43,19 @@
   offer.path = path;
   offer.bytes = std::move(bytes);
   offer.hooks = std::move(hooks);
-  if (connected()) {
+  if (connected() && (!offer.hooks.needs_live_connection || IsProvenAlive())) {
     SendNow(id, offer);
     return id;
   }
+  if (connected()) {
+    m_client->WhenHeard([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->SendUnsent();
+      }
+    });
+    m_client->PingNow();
+    return id;
+  }
   if (Clock::now() < m_retry_at) {
     asio::post(m_io, [self = shared_from_this(), id] {
       self->Finish(id, StreamOutcome::kNotProcessed, "");
@@ -49,6 +66,10 @@
   return id;
 }
 
+bool PeerLink::IsProvenAlive() const {
+  return m_client->HeardAge(Clock::now()) < kProvenAlive;
+}
+
 void PeerLink::SendNow(OfferId id, Offer& offer) {
   offer.client = m_client;
   offer.stream = m_client->Send(
@@ -121,6 +142,13 @@
   });
   Log(LogLevel::kDebug, LogEvent::kPeerConnected,
       {{"peer", TextOf(m_endpoint)}});
+  SendUnsent();
+}
+
+void PeerLink::SendUnsent() {
+  if (!connected()) {
+    return;
+  }
   std::vector<OfferId> unsent;
   std::ranges::for_each(m_offers, [&](auto& item) {
     if (item.second.client == nullptr) {
@@ -156,6 +184,12 @@
   }
   if (m_client.get() == client && !client->usable()) {
     m_client.reset();
+    const bool unsent = std::ranges::any_of(m_offers, [](const auto& item) {
+      return item.second.client == nullptr;
+    });
+    if (unsent) {
+      Connect();
+    }
   }
   if (!client->suspect()) {
     return;
--- a/src/libyuccamast/node/peer_link.h
+++ b/src/libyuccamast/node/peer_link.h
@@ -24,6 +24,9 @@
 struct OfferHooks {
   AnswerHook on_answer;              ///< Exactly once, unless cancelled.
   std::function<void()> on_suspect;  ///< The connection fell silent.
+  /// The offer may not be lost on a connection that is silent already: it
+  /// waits for a sign of life, or for a fresh connection, before it is sent.
+  bool needs_live_connection = false;
 };
 
 using OfferId = std::uint64_t;
@@ -34,7 +37,8 @@
   PeerLink(boost::asio::io_context& io,
            tcp::endpoint endpoint,
            const LinkOptions& options,
-           Metrics& metrics);
+           Metrics& metrics,
+           std::uint64_t generation = 0);
 
   /// Sends a whole message to the peer.
   OfferId Send(LinkPath path, std::string bytes, OfferHooks hooks);
@@ -43,7 +47,8 @@
   /// the peer never acts on it.
   bool Cancel(OfferId id);
 
-  /// Number for the next offer to this peer.
+  /// Number for the next offer to this peer. Numbers of a later generation
+  /// of the link are above all of an earlier one.
   std::uint64_t NextSequence() { return ++m_sequence; }
 
   /// Closes all connections; open offers are told.
@@ -71,6 +76,8 @@
   void Connect();
   void OnConnected(const boost::system::error_code& error);
   void SendNow(OfferId id, Offer& offer);
+  void SendUnsent();
+  bool IsProvenAlive() const;
   void Finish(OfferId id, StreamOutcome outcome, std::string bytes);
   void OnClientChange(LinkClient* client);
   void FailUnsent();
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -72,6 +72,7 @@
   settings.upstream = reader.String("name", std::nullopt);
   settings.upstream_ip = ReadIp(reader, "ip", settings.ip);
   settings.upstream_port = ReadPort(reader, "port");
+  settings.health_path = reader.String("health_path", "");
   UpstreamLimits& limits = settings.upstream_limits;
   limits.max_connections = static_cast<std::size_t>(
       reader.Int("max_connections", kCountRange,
@@ -83,6 +84,8 @@
   limits.keep_idle = ReadMillis(reader, "keep_idle_ms", limits.keep_idle);
   limits.proven_alive =
       ReadMillis(reader, "proven_alive_ms", limits.proven_alive);
+  limits.overrun = ReadMillis(reader, "overrun_ms", limits.overrun);
+  limits.silence = ReadMillis(reader, "silence_ms", limits.silence);
 }
 
 void ReadCaller(ObjectReader& reader, CallerLimits& limits) {
@@ -98,6 +101,7 @@
       ReadMillis(reader, "idle_timeout_ms", limits.idle_timeout);
   limits.write_timeout =
       ReadMillis(reader, "write_timeout_ms", limits.write_timeout);
+  limits.silence = ReadMillis(reader, "silence_ms", limits.silence);
   limits.max_connections = static_cast<std::size_t>(
       reader.Int("max_connections", kCountRange,
                  static_cast<std::int64_t>(limits.max_connections)));
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -48,7 +48,8 @@
   std::string upstream;  ///< Name in the configuration; empty if none.
   std::string upstream_ip;
   std::uint16_t upstream_port = 0;
-  std::string shared_key;  ///< Seals control messages; empty: no seal.
+  std::string health_path;  ///< Of the upstream; empty: it is not asked.
+  std::string shared_key;   ///< Seals control messages; empty: no seal.
   PlatformAddress config_service;
   PlatformAddress vm_list;
   std::uint32_t entry_threads = 2;
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -1,6 +1,7 @@
 #include "standin/http_server.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -39,6 +40,7 @@
           Handler& handler,
           std::shared_ptr<std::size_t> connections)
       : m_socket(std::move(socket)),
+        m_timer(m_socket.get_executor()),
         m_handler(handler),
         m_connections(std::move(connections)) {
     ++*m_connections;
@@ -106,6 +108,30 @@
     error_code ignored;
     m_socket.cancel(ignored);
     m_reply = std::move(reply);
+    if (m_reply.first_bytes > 0) {
+      WriteFirst();
+    } else {
+      WriteRest();
+    }
+  }
+
+  void WriteFirst() {
+    const std::size_t first =
+        std::min(m_reply.first_bytes, m_reply.bytes.size());
+    asio::async_write(m_socket, asio::buffer(m_reply.bytes.data(), first),
+                      [self = shared_from_this(), first](
+                          const error_code& error, std::size_t) {
+                        self->m_reply.bytes.erase(0, first);
+                        if (error) {
+                          return;
+                        }
+                        self->m_timer.expires_after(self->m_reply.pause);
+                        self->m_timer.async_wait(
+                            [self](const error_code&) { self->WriteRest(); });
+                      });
+  }
+
+  void WriteRest() {
     asio::async_write(
         m_socket, asio::buffer(m_reply.bytes),
         [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -134,6 +160,7 @@
   }
 
   tcp::socket m_socket;
+  asio::steady_timer m_timer;
   Handler& m_handler;
   std::shared_ptr<std::size_t> m_connections;
   boost::beast::flat_buffer m_buffer;
--- a/src/standin/http_server.h
+++ b/src/standin/http_server.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,9 @@
 struct RawReply {
   std::string bytes;
   After after = After::kKeep;
+  /// If not 0, this many bytes are sent, then a pause, then the rest.
+  std::size_t first_bytes = 0;
+  std::chrono::milliseconds pause{0};
 };
 
 using Respond = std::function<void(RawReply)>;
--- a/src/standin/relay.cpp
+++ b/src/standin/relay.cpp
@@ -65,9 +65,8 @@
                          [self = shared_from_this(), &from, &to, buffer,
                           forward](const error_code& error, std::size_t size) {
                            if (error) {
-                             if (!self->m_silent) {
-                               self->Close(false);
-                             }
+                             self->m_ended = true;
+                             self->CloseIfDone();
                              return;
                            }
                            buffer->resize(size);
@@ -76,6 +75,13 @@
                          });
   }
 
+  /// Closes once one end is over and all bytes on their way were delivered.
+  void CloseIfDone() {
+    if (m_ended && !m_silent && m_forward.empty() && m_backward.empty()) {
+      Close(false);
+    }
+  }
+
   bool Dropped(bool forward) const {
     const RelayMode mode = m_relay.mode();
     return m_silent || mode == RelayMode::kBlack ||
@@ -86,6 +92,43 @@
     if (Dropped(forward)) {
       return;
     }
+    if (forward && m_relay.hold_after() >= 0) {
+      Hold(to, *bytes);
+      return;
+    }
+    Queue(to, bytes, forward);
+  }
+
+  /// Lets through what the limit still allows and keeps the rest.
+  void Hold(tcp::socket& to, const std::string& bytes) {
+    const auto limit = static_cast<std::size_t>(m_relay.hold_after());
+    const std::size_t pass =
+        std::min(bytes.size(), limit > m_passed ? limit - m_passed : 0);
+    m_passed += pass;
+    if (pass > 0) {
+      Queue(to, std::make_shared<std::string>(bytes.substr(0, pass)), true);
+    }
+    if (pass < bytes.size()) {
+      if (m_kept.empty()) {
+        m_relay.CountHeld();
+      }
+      m_kept += bytes.substr(pass);
+    }
+  }
+
+ public:
+  /// Sends on what was kept.
+  void Resume() {
+    m_passed = 0;
+    if (!m_kept.empty() && !Dropped(true)) {
+      Queue(m_connected, std::make_shared<std::string>(std::move(m_kept)),
+            true);
+    }
+    m_kept.clear();
+  }
+
+ private:
+  void Queue(tcp::socket& to, const Bytes& bytes, bool forward) {
     std::uint64_t wait_us = m_relay.delay_us();
     if (m_relay.rate() > 0) {
       wait_us += bytes->size() * 1'000'000 / m_relay.rate();
@@ -102,6 +145,7 @@
   void SendNext(tcp::socket& to, bool forward) {
     auto& queue = forward ? m_forward : m_backward;
     if (queue.empty()) {
+      CloseIfDone();
       return;
     }
     auto timer = std::make_shared<asio::steady_timer>(m_io);
@@ -141,6 +185,9 @@
   tcp::socket m_connected;
   std::deque<Due> m_forward;
   std::deque<Due> m_backward;
+  bool m_ended = false;
+  std::string m_kept;
+  std::size_t m_passed = 0;
   bool m_silent = false;
 };
 
@@ -148,8 +195,9 @@
     : m_io(io),
       m_options(options),
       m_acceptor(io),
-      m_datagrams(io, asio::ip::udp::endpoint(
-                          asio::ip::make_address(options.ip), options.port)),
+      m_datagrams(io,
+                  asio::ip::udp::endpoint(asio::ip::make_address(options.ip),
+                                          options.port)),
       m_delay_us(options.delay_us),
       m_control(io,
                 options.ip,
@@ -184,9 +232,9 @@
   timer->expires_after(std::chrono::microseconds(m_delay_us));
   timer->async_wait([this, bytes, timer](const error_code&) {
     error_code ignored;
-    m_datagrams.send_to(
-        asio::buffer(*bytes),
-        {asio::ip::make_address(m_options.ip), m_options.to}, 0, ignored);
+    m_datagrams.send_to(asio::buffer(*bytes),
+                        {asio::ip::make_address(m_options.ip), m_options.to}, 0,
+                        ignored);
   });
 }
 
@@ -211,6 +259,11 @@
         Number(request, "delay_us", static_cast<long>(m_delay_us)));
     m_rate = static_cast<std::uint64_t>(
         Number(request, "rate", static_cast<long>(m_rate)));
+    m_hold_after = Number(request, "hold_after", m_hold_after);
+    if (m_hold_after < 0) {
+      m_held = 0;
+      std::ranges::for_each(m_pairs, [](const auto& pair) { pair->Resume(); });
+    }
     const auto mode = std::ranges::find(kModeNames, Param(request, "mode", ""));
     if (mode != kModeNames.end()) {
       m_mode = static_cast<RelayMode>(mode - kModeNames.begin());
@@ -219,7 +272,8 @@
       std::ranges::for_each(m_pairs, [](const auto& pair) { pair->Silence(); });
     }
   }
-  respond(Reply(200, "pairs " + std::to_string(m_pairs.size()) + "\n"));
+  respond(Reply(200, "pairs " + std::to_string(m_pairs.size()) + "\nheld " +
+                         std::to_string(m_held) + "\n"));
 }
 
 int RunRelay(int argc, char** argv) {
--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -97,6 +97,10 @@
     Control(request, respond);
     return;
   }
+  if (request.path == "/health") {
+    respond(Reply(200, "ok", LeavingHead()));
+    return;
+  }
   const Fail fail = FailOf(request);
   const bool unlucky = static_cast<long>(m_random() % 100) < m_fail_share;
   if (fail == Fail::kShed || m_shedding) {
@@ -121,6 +125,10 @@
   StartJobs();
 }
 
+std::string UpstreamStandIn::LeavingHead() const {
+  return m_draining ? "Yuccamast-Upstream-Leaving: 1\r\n" : "";
+}
+
 void UpstreamStandIn::StartJobs() {
   while (m_running < m_options.slots && !m_waiting.empty()) {
     const auto job = m_waiting.front();
@@ -165,8 +173,14 @@
 
 RawReply UpstreamStandIn::BuildReply(const Request& request) {
   const std::string body = AnswerBody(request);
-  RawReply reply =
-      Reply(200, body, m_draining ? "Yuccamast-Upstream-Leaving: 1\r\n" : "");
+  RawReply reply = Reply(200, body, LeavingHead());
+  if (request.query.contains("pace")) {
+    const std::size_t head = reply.bytes.find("\r\n\r\n") + 4;
+    const bool half = Param(request, "pace", "") == "half";
+    reply.first_bytes = half ? head + body.size() / 2 : head;
+    reply.pause = std::chrono::milliseconds(Number(request, "pause_ms", 300));
+    ++m_paced;
+  }
   switch (FailOf(request)) {
     case Fail::kCloseAfterRead:
       return {"", After::kClose};
@@ -207,9 +221,10 @@
 std::string UpstreamStandIn::StateText() const {
   std::ostringstream text;
   text << "requests " << m_requests << "\nrunning " << m_running << "\nwaiting "
-       << m_waiting.size() << "\npeak " << m_peak << "\ncancelled "
-       << m_cancelled << "\nconnections " << m_server.connections()
-       << "\naccepted " << m_server.accepted() << "\n";
+       << m_waiting.size() << "\npaced " << m_paced << "\npeak " << m_peak
+       << "\ncancelled " << m_cancelled << "\nconnections "
+       << m_server.connections() << "\naccepted " << m_server.accepted()
+       << "\n";
   return text.str();
 }
 
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -51,6 +51,7 @@
   void Finish(const std::shared_ptr<Job>& job);
   std::chrono::microseconds ServiceTime(const Request& request);
   RawReply BuildReply(const Request& request);
+  std::string LeavingHead() const;
   std::string LedgerText() const;
   std::string StateText() const;
 
@@ -63,6 +64,7 @@
   unsigned m_peak = 0;
   std::uint64_t m_requests = 0;
   std::uint64_t m_cancelled = 0;
+  std::uint64_t m_paced = 0;  ///< Replies begun with a pause in them.
   double m_slow = 1;
   bool m_draining = false;
   bool m_shedding = false;
--- a/src/yuccamast/cmd_inspect.cpp
+++ b/src/yuccamast/cmd_inspect.cpp
@@ -74,8 +74,8 @@
               << " heard_ms=" << TextOf(row, "heard_ms")
               << (lags ? " lags=true" : "") << "\n";
   });
-  std::cout << "status members=" << members.size() << " newest_revision="
-            << newest << " lagging=" << lagging << "\n";
+  std::cout << "status members=" << members.size()
+            << " newest_revision=" << newest << " lagging=" << lagging << "\n";
   return lagging == 0 ? 0 : 1;
 }
 
--- a/testsuite/fleet_test.cpp
+++ b/testsuite/fleet_test.cpp
@@ -16,8 +16,8 @@
   FleetSpec spec;
   for (std::size_t i = 1; i <= count; ++i) {
     const std::string number = std::to_string(i);
-    spec.vms.push_back({"vm-" + number, "shop-" + number, "shop",
-                        i % 2 == 0 ? "dc1" : "dc2"});
+    spec.vms.push_back(
+        {"vm-" + number, "shop-" + number, "shop", i % 2 == 0 ? "dc1" : "dc2"});
   }
   spec.files.push_back({"20-rules.json",
                         R"({"rules": {"read": {"service": "shop",
--- a/testsuite/support/local_fleet.cpp
+++ b/testsuite/support/local_fleet.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <mutex>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -24,6 +25,7 @@
 
 constexpr int kFirstPort = 10'000;
 constexpr int kLastPort = 31'000;
+constexpr int kPortStride = 211;
 
 bool IsFree(std::uint16_t port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -37,10 +39,13 @@
   return free;
 }
 
-/// The next free port; processes start at different places of the range.
+/// The next free port; never the same twice in one process. Processes start at
+/// different places of the range.
 std::uint16_t NextPort() {
-  static int next = kFirstPort + (static_cast<int>(::getpid()) * 97) %
+  static std::mutex mutex;
+  static int next = kFirstPort + (static_cast<int>(::getpid()) * kPortStride) %
                                      (kLastPort - kFirstPort);
+  const std::lock_guard lock(mutex);
   while (true) {
     next = next >= kLastPort ? kFirstPort : next + 1;
     if (IsFree(static_cast<std::uint16_t>(next))) {
@@ -57,6 +62,7 @@
 
 const std::string kBinary = YUCCAMAST_BINARY;
 const std::string kStandIn = YUCCAMAST_STANDIN;
+const std::string kTestNode = YUCCAMAST_TESTNODE;
 
 std::vector<std::string> RelayCommand(std::uint16_t port,
                                       std::uint16_t to,
@@ -199,8 +205,9 @@
     const int port =
         m_spec.relay_upstream ? vm.upstream_relay_port : vm.upstream_port;
     settings.push_back(
-        {"upstream",
-         JsonValue::Object{{"name", vm.spec.upstream}, {"port", port}}});
+        {"upstream", JsonValue::Object{{"name", vm.spec.upstream},
+                                       {"port", port},
+                                       {"health_path", "/health"}}});
   }
   std::ranges::for_each(m_spec.settings, [&](const JsonMember& member) {
     std::erase_if(settings,
@@ -256,8 +263,8 @@
   const std::string file = vm.spec.vm + ".json";
   WriteFile(file, SettingsText(vm));
   vm.node = std::make_unique<Process>(
-      std::vector<std::string>{kBinary, "node", "--settings",
-                               m_folder + "/" + file},
+      std::vector<std::string>{m_spec.test_nodes ? kTestNode : kBinary, "node",
+                               "--settings", m_folder + "/" + file},
       m_folder + "/" + vm.spec.vm + ".log");
 }
 
--- a/testsuite/support/local_fleet.h
+++ b/testsuite/support/local_fleet.h
@@ -37,6 +37,7 @@
   bool relay_inner = false;     ///< A fault relay before each inner port.
   bool relay_upstream = false;  ///< A fault relay before each upstream.
   std::uint64_t inner_delay_us = 0;
+  bool test_nodes = false;  ///< Nodes that hold calls at steps on request.
 };
 
 /// What belongs to one VM.
