--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -5,6 +5,7 @@
 
 #include "http/fields.h"
 #include "log/log.h"
+#include "node/exit_call.h"
 #include "outcome/planted_fault.h"
 
 namespace yuccamast {
@@ -18,39 +19,8 @@
 /// Lives of peers' processes whose sequence windows are kept.
 constexpr std::size_t kMaxWindows = 8192;
 
-std::uint64_t Micros(Duration duration) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
-}
-
 }  // namespace
 
-/// A call that the exit holds, from its admission to its end.
-struct ExitCalls::Call {
-  Call(boost::asio::io_context& io,
-       StreamReply stream_reply,
-       MemoryBudget& budget)
-      : reply(std::move(stream_reply)),
-        memory(budget),
-        deadline_timer(io),
-        life(CallStep::kAdmitted) {}
-
-  CallTicket ticket = 0;
-  std::uint64_t key = 0;
-  OfferMessage offer;
-  StreamReply reply;
-  MemoryShare memory;
-  asio::steady_timer deadline_timer;
-  CallLife life;
-  TimePoint received_at;
-  TimePoint started_at;
-  TimePoint deadline;
-  bool has_slot = false;
-  bool told = false;       ///< The entry has its answer or is gone.
-  bool head_seen = false;  ///< The reply's head was read.
-  std::shared_ptr<UpstreamRun> run;
-};
-
 ExitCalls::ExitCalls(asio::io_context& io,
                      const NodeSettings& settings,
                      FleetStore& store,
@@ -476,59 +446,6 @@
   Log(LogLevel::kInfo, LogEvent::kNodeLeaving, {{"calls", m_calls.size()}});
 }
 
-LoadReport ExitCalls::Report() const {
-  LoadReport report;
-  report.boot_id = m_boot_id;
-  report.running = m_admission.running();
-  report.queued = m_admission.queued();
-  report.limit = m_admission.limits().slots;
-  report.service_us =
-      static_cast<std::uint32_t>(Micros(m_admission.short_service()));
-  report.oldest_short_us =
-      static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
-  report.leaving = leaving();
-  return report;
-}
-
-std::vector<std::string> ExitCalls::CallIds() const {
-  std::vector<std::string> ids;
-  std::ranges::transform(
-      m_calls, std::back_inserter(ids),
-      [](const auto& item) { return item.second->offer.call_id; });
-  return ids;
-}
-
-JsonValue ExitCalls::ToJson() const {
-  const TimePoint now = Clock::now();
-  JsonValue::Array calls;
-  std::ranges::for_each(m_calls, [&](const auto& item) {
-    const Call& call = *item.second;
-    calls.push_back(
-        JsonValue::Object{{"call", call.offer.call_id},
-                          {"rule", call.offer.rule},
-                          {"from", call.offer.origin.vm},
-                          {"step", NameOf(call.life.step())},
-                          {"reply_head", call.head_seen},
-                          {"told", call.told},
-                          {"age_us", Micros(now - call.received_at)}});
-  });
-  return JsonValue::Object{
-      {"upstream", m_settings.upstream},
-      {"leaving", leaving()},
-      {"upstream_draining", Draining()},
-      {"slots", m_admission.limits().slots},
-      {"running", m_admission.running()},
-      {"running_long", m_admission.running_long()},
-      {"queued", m_admission.queued()},
-      {"service_us", Micros(m_admission.short_service())},
-      {"upstream_connections",
-       std::uint64_t{m_upstream == nullptr ? 0 : m_upstream->connections()}},
-      {"upstream_idle",
-       std::uint64_t{m_upstream == nullptr ? 0
-                                           : m_upstream->idle_connections()}},
-      {"calls", std::move(calls)}};
-}
-
 void ExitCalls::Close() {
   m_closed = true;
   m_tick.cancel();
--- a/testsuite/fleet_bench.cpp
+++ b/testsuite/fleet_bench.cpp
@@ -195,7 +195,7 @@
   void MeasureChanges() {
     std::vector<double> medians;
     for (int change = 0; change < kChanges; ++change) {
-      const auto revision = static_cast<std::uint64_t>(change + 2);
+      const auto revision = static_cast<std::uint64_t>(change) + 2;
       const double since = WallSeconds();
       m_fleet.Publish(revision,
                       {{"30.json", R"({"rules": {"read": {"deadline_ms": )" +
--- a/testsuite/matrix/cell_runner.cpp
+++ b/testsuite/matrix/cell_runner.cpp
@@ -1,5 +1,7 @@
 #include "matrix/cell_runner.h"
 
+#include "matrix/cell_call.h"
+
 #include <algorithm>
 #include <csignal>
 #include <sstream>
@@ -19,14 +21,9 @@
 
 namespace {
 
-constexpr int kDeadlineMs = 800;
-constexpr int kShortPauseMs = 450;  ///< Long enough to be noticed.
-constexpr int kLongPauseMs = 1300;
-constexpr int kNoticeMs = 150;  ///< In which a caller's end is noticed.
 constexpr milliseconds kStepLimit{5000};
 constexpr milliseconds kReplyLimit{8000};
 constexpr milliseconds kSettleLimit{6000};
-constexpr std::size_t kEntry = 0;
 constexpr std::size_t kBodyBytes = 200'000;
 
 FleetSpec Spec(const std::string& rules) {
@@ -106,25 +103,6 @@
 
 }  // namespace
 
-/// The call of one cell.
-struct CellRunner::Call {
-  std::string id;
-  std::unique_ptr<RawConnection> caller;
-  std::size_t holder = 1;  ///< The VM whose exit has it, as far as is known.
-  HttpAnswer answer;
-  bool sent = false;
-};
-
-std::string CellRunner::Rules(int deadline_ms, bool flipped) const {
-  const std::string tail = ", \"deadline_ms\": " + std::to_string(deadline_ms);
-  return R"({"rules": {"once": {"service": "shop", "method": "POST",
-            "path": "/once", "idempotent": )" +
-         std::string(flipped ? "true" : "false") + tail +
-         R"(}, "again": {"service": "shop", "method": "POST",
-            "path": "/again", "idempotent": )" +
-         std::string(flipped ? "false" : "true") + tail + "}}}";
-}
-
 CellRunner::CellRunner()
     : m_fleet(std::make_unique<LocalFleet>(Spec(Rules(kDeadlineMs, false)))) {
   m_fleet->WaitReady();
@@ -263,99 +241,6 @@
   }
 }
 
-void CellRunner::Pause(Process& process, int milliseconds_paused) {
-  process.Signal(SIGSTOP);
-  std::this_thread::sleep_for(milliseconds(milliseconds_paused));
-  process.Signal(SIGCONT);
-}
-
-void CellRunner::Inject(Fault fault, Call& call) {
-  LocalVm& entry = m_fleet->vm(kEntry);
-  LocalVm& holder = m_fleet->vm(call.holder);
-  const auto inner = [&](const std::string& target) {
-    Page(holder.inner_relay_control, "/_standin/" + target);
-  };
-  const auto upstream = [&](const std::string& target) {
-    Page(holder.upstream_relay_control, "/_standin/" + target);
-  };
-  switch (fault) {
-    case Fault::kEntryKilled:
-      entry.node->Signal(SIGKILL);
-      break;
-    case Fault::kExitKilled:
-      holder.node->Signal(SIGKILL);
-      break;
-    case Fault::kUpstreamKilled:
-      holder.upstream->Signal(SIGKILL);
-      break;
-    case Fault::kEntryPausedShort:
-      Pause(*entry.node, kShortPauseMs);
-      break;
-    case Fault::kEntryPausedLong:
-      Pause(*entry.node, kLongPauseMs);
-      break;
-    case Fault::kExitPausedShort:
-      Pause(*holder.node, kShortPauseMs);
-      break;
-    case Fault::kExitPausedLong:
-      Pause(*holder.node, kLongPauseMs);
-      break;
-    case Fault::kUpstreamPausedShort:
-      Pause(*holder.upstream, kShortPauseMs);
-      break;
-    case Fault::kUpstreamPausedLong:
-      Pause(*holder.upstream, kLongPauseMs);
-      break;
-    case Fault::kEntryLeaving:
-      entry.node->Signal(SIGTERM);
-      break;
-    case Fault::kExitLeaving:
-      holder.node->Signal(SIGTERM);
-      break;
-    case Fault::kUpstreamLeaving:
-      Page(holder.upstream_port, "/_standin/set?draining=1");
-      break;
-    case Fault::kCallerReset:
-    case Fault::kCallerGone:
-      call.caller->Close(fault == Fault::kCallerReset);
-      std::this_thread::sleep_for(milliseconds(kNoticeMs));
-      break;
-    case Fault::kInnerReset:
-      inner("reset");
-      break;
-    case Fault::kUpstreamReset:
-      upstream("reset");
-      break;
-    case Fault::kInnerSilent:
-      inner("set?mode=silent");
-      inner("set?mode=pass");
-      break;
-    case Fault::kInnerHalfSilent:
-      inner("set?mode=half");
-      break;
-    case Fault::kUpstreamSilent:
-      upstream("set?mode=silent");
-      upstream("set?mode=pass");
-      break;
-    case Fault::kUpstreamSlow:
-      Page(holder.upstream_port, "/_standin/set?slow_percent=2000");
-      break;
-    case Fault::kUpstreamFastFailing:
-      Page(holder.upstream_port, "/_standin/set?fail_share=100");
-      break;
-    case Fault::kDeadlinePassed:
-      std::this_thread::sleep_for(milliseconds(kDeadlineMs + 200));
-      break;
-    case Fault::kConfigChanged:
-      m_fleet->Publish(++m_revision, {{"20-rules.json", Rules(60'000, true)}});
-      std::this_thread::sleep_for(milliseconds(100));
-      break;
-    case Fault::kStaleVmList:
-      m_fleet->PublishVms({holder.spec.vm}, {});
-      break;
-  }
-}
-
 void CellRunner::Finish(Call& call) {
   call.answer =
       call.caller->connected() ? call.caller->Read(kReplyLimit) : HttpAnswer{};
--- a/testsuite/matrix/cell_runner.h
+++ b/testsuite/matrix/cell_runner.h
@@ -37,6 +37,7 @@
   void Begin(const Cell& cell, Call& call);
   bool WaitForStep(const Cell& cell, Call& call);
   void Release();
+  bool InjectInProcess(Fault fault, Call& call);
   void Inject(Fault fault, Call& call);
   void Pause(testing::Process& process, int milliseconds);
   void Finish(Call& call);
--- a/testsuite/matrix/main.cpp
+++ b/testsuite/matrix/main.cpp
@@ -73,11 +73,11 @@
   out << "| fault |";
   std::ranges::for_each(kStepNames, [&](auto name) { out << name << "|"; });
   out << "\n|---|" << std::string(kStepNames.size() * 4, '-') << "\n";
-  for (const auto& [fault, row] : table) {
-    out << "| " << fault << " |";
+  for (const auto& item : table) {
+    out << "| " << item.first << " |";
     std::ranges::for_each(kStepNames, [&](auto name) {
-      const auto cell = row.find(std::string(name));
-      out << (cell == row.end() ? "" : cell->second) << "|";
+      const auto cell = item.second.find(std::string(name));
+      out << (cell == item.second.end() ? "" : cell->second) << "|";
     });
     out << "\n";
   }
