Let the planted re-send pass the start gate

Change: the plant bypasses the gate; the program is unchanged, since IsPlanted is a constant false there.

--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -149,7 +149,7 @@
 }
 
 void UpstreamRun::Write() {
-  if (!m_hooks.start()) {
+  if (!m_hooks.start() && !IsPlanted(PlantedFault::kResend)) {
     m_over = true;
     m_pool.Keep(m_connection);
     return;
