--- a/etc/lint.sh
+++ b/etc/lint.sh
@@ -21,8 +21,9 @@
     metrics) echo "metrics outcome" ;;
     link) echo "link balance" ;;
     http) echo "http link log metrics outcome" ;;
-    platform) echo "platform config json log metrics node" ;;
-    node) echo "node admission balance config http json link log membership metrics outcome platform" ;;
+    admin) echo "admin" ;;
+    source) echo "source config json log metrics node" ;;
+    node) echo "node admission balance config http json link log membership metrics outcome source admin" ;;
   esac
 }
 for file in $sources; do
--- a/include/yuccamast/config/configuration.h
+++ b/include/yuccamast/config/configuration.h
@@ -51,6 +51,9 @@
   std::chrono::milliseconds queue_limit{100};  ///< Oldest wait at an exit.
   std::uint32_t queue_length = 20;             ///< Calls waiting at an exit.
   double retry_share = 0.1;  ///< Retries allowed for each first attempt.
+  std::string health_path;   ///< What an exit asks its upstream; may be empty.
+  /// Connections that an upstream takes from all exits; 0: not limited here.
+  std::uint32_t max_connections = 0;
 };
 
 /// One upstream: a server program on a VM.
@@ -62,16 +65,43 @@
   std::uint32_t short_slots = 3;  ///< Of these, slots long calls may not take.
 };
 
+/// One of the services that a rule divides its requests among.
+struct SplitPart {
+  std::string service;
+  std::uint32_t weight = 0;  ///< Share of the requests, relative to the others.
+};
+
 /// Which requests go to which service, and what may be done with them.
+///
+/// A rule has either a `path` pattern or a literal `prefix`. A prefix rule
+/// belongs to one host; of the prefixes of a host that begin the path, the
+/// longest decides, and the path is compared byte by byte.
 struct Rule {
   std::string name;
-  std::string service;
-  std::string method;  ///< An HTTP method, or `*` for any.
-  std::string path;    ///< Literal segments, `*` for one, `**` for the rest.
+  std::string service;  ///< Empty if `split` names the services.
+  std::string method;   ///< An HTTP method, or `*` for any.
+  std::string path;     ///< Literal segments, `*` for one, `**` for the rest.
+  std::string host;     ///< Lower case, without port; only with `prefix`.
+  std::string prefix;   ///< Begins and ends with a slash; empty: use `path`.
+  std::vector<SplitPart> split;
   bool idempotent = false;
   std::chrono::milliseconds deadline{2000};
+  /// Time within which an answer is worth most; zero: the deadline decides.
+  std::chrono::milliseconds objective{0};
   WeightClass weight = WeightClass::kShort;
   std::int64_t priority = 0;  ///< The higher one wins before any other rank.
+  std::uint32_t urgency = 0;  ///< Rank when room is short; 0 is served first.
+  /// Upstreams that one call may be sent to, the first included.
+  std::uint32_t max_attempts = 4;
+};
+
+/// Bounds on callers that a configuration may set for all nodes; a field that
+/// is not set leaves the node's own setting in force.
+struct CallerBounds {
+  std::optional<std::size_t> max_head_bytes;
+  std::optional<std::size_t> max_body_bytes;
+  std::optional<std::chrono::milliseconds> head_timeout;
+  std::optional<std::chrono::milliseconds> idle_timeout;
 };
 
 /// Calls a rule by the parts of its path; see `RuleTable`.
@@ -84,6 +114,7 @@
   std::map<std::string, Service, std::less<>> services;
   std::map<std::string, Upstream, std::less<>> upstreams;
   std::map<std::string, Rule, std::less<>> rules;
+  CallerBounds callers;
   std::shared_ptr<const RuleTable> table;
 };
 
@@ -108,6 +139,7 @@
   kOverlap,
   kDuplicateVm,
   kEmpty,
+  kBadPrefix,
 };
 
 std::string_view NameOf(ConfigFault fault);
@@ -135,12 +167,19 @@
 /// Digest of the names and texts of `files`, sorted by name.
 std::string DigestOf(const std::vector<ConfigFile>& files);
 
-/// The rule that governs a request, or null. `path` has no query part and must
-/// have passed `CheckPath`. Thread-safe.
+/// The rule whose `path` governs a request, or null. `path` has no query part
+/// and must have passed `CheckPath`. Thread-safe.
 const Rule* FindRule(const Configuration& configuration,
                      std::string_view method,
                      std::string_view path);
 
+/// The rule with the longest `prefix` of the host that begins `path`, or null.
+/// `host` is the caller's Host field, in any case and with or without a port;
+/// `path` has no query part. Thread-safe.
+const Rule* FindPrefixRule(const Configuration& configuration,
+                           std::string_view host,
+                           std::string_view path);
+
 /// Whether a path means the same to every server: it starts with a slash and
 /// has no empty, `.` or `..` segment, backslash, encoded slash or encoded dot.
 bool CheckPath(std::string_view path);
--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -52,6 +52,7 @@
   kWrongUpstream,
   kUpstreamShed,
   kTooManyConnections,
+  kMisdirected,
 };
 
 /// One row of the table of reasons.
@@ -62,9 +63,10 @@
   RunClaim claim;
   bool retry_after;  ///< Whether a `Retry-After` header helps the caller.
   bool movable;      ///< Whether another upstream may be tried.
+  bool arrived;      ///< Whether the request, or a part, reached an upstream.
 };
 
-inline constexpr std::size_t kRefusalReasonCount = 28;
+inline constexpr std::size_t kRefusalReasonCount = 29;
 
 /// The table of reasons, indexed by the value of the reason.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/platform/control_server.cpp
+++ b/src/libyuccamast/admin/control_server.cpp
@@ -1,5 +1,5 @@
 // Compiled as C++17, see json_value.cpp.
-#include "platform/control_server.h"
+#include "admin/control_server.h"
 
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
@@ -9,6 +9,7 @@
 #include <cxxtools/http/service.h>
 #include <cxxtools/regex.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace yuccamast {
@@ -58,12 +59,18 @@
 
 class ControlServer::Impl {
  public:
-  Impl(const std::string& ip, std::uint16_t port, ControlHandler handler)
+  Impl(const std::string& ip,
+       const std::vector<std::uint16_t>& ports,
+       ControlHandler handler)
       : m_service(std::move(handler)), m_server(m_loop) {
     m_server.minThreads(1);
     m_server.maxThreads(4);
     m_server.addService(cxxtools::Regex(".*"), m_service);
-    m_server.listen(ip, port);
+    std::for_each(ports.begin(), ports.end(), [&](std::uint16_t port) {
+      if (port != 0) {
+        m_server.listen(ip, port);
+      }
+    });
     m_thread = std::thread([this] { m_loop.run(); });
   }
   Impl(const Impl&) = delete;
@@ -81,9 +88,9 @@
 };
 
 ControlServer::ControlServer(const std::string& ip,
-                             std::uint16_t port,
+                             const std::vector<std::uint16_t>& ports,
                              ControlHandler handler)
-    : m_impl(std::make_unique<Impl>(ip, port, std::move(handler))) {}
+    : m_impl(std::make_unique<Impl>(ip, ports, std::move(handler))) {}
 
 ControlServer::~ControlServer() = default;
 
--- a/src/libyuccamast/platform/control_server.h
+++ b/src/libyuccamast/admin/control_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 /// \file control_server.h
 /// The operators' HTTP address of a process, by cxxtools::http::Server.
@@ -27,8 +28,9 @@
 class ControlServer {
  public:
   /// Throws std::exception if the address cannot be listened on.
+  /// Listens on each of `ports` that is not 0.
   ControlServer(const std::string& ip,
-                std::uint16_t port,
+                const std::vector<std::uint16_t>& ports,
                 ControlHandler handler);
   ~ControlServer();
   ControlServer(const ControlServer&) = delete;
--- a/src/libyuccamast/config/configuration.cpp
+++ b/src/libyuccamast/config/configuration.cpp
@@ -35,7 +35,7 @@
     {WeightClass::kLong, "long"},
 }};
 
-constexpr std::array<NameRow<ConfigFault>, 13> kFaultNames = {{
+constexpr std::array<NameRow<ConfigFault>, 14> kFaultNames = {{
     {ConfigFault::kUnreadable, "unreadable"},
     {ConfigFault::kBadJson, "bad_json"},
     {ConfigFault::kUnknownKey, "unknown_key"},
@@ -49,6 +49,7 @@
     {ConfigFault::kOverlap, "overlap"},
     {ConfigFault::kDuplicateVm, "duplicate_vm"},
     {ConfigFault::kEmpty, "empty"},
+    {ConfigFault::kBadPrefix, "bad_prefix"},
 }};
 
 template <typename Table, typename Enum>
@@ -160,6 +161,14 @@
   return files;
 }
 
+const Rule* FindPrefixRule(const Configuration& configuration,
+                           std::string_view host,
+                           std::string_view path) {
+  return configuration.table == nullptr
+             ? nullptr
+             : configuration.table->FindPrefix(host, path);
+}
+
 const Rule* FindRule(const Configuration& configuration,
                      std::string_view method,
                      std::string_view path) {
--- a/src/libyuccamast/config/describe.cpp
+++ b/src/libyuccamast/config/describe.cpp
@@ -1,5 +1,7 @@
 #include "config/describe.h"
 
+#include <algorithm>
+
 namespace yuccamast {
 
 namespace {
@@ -9,7 +11,9 @@
       {"policy", NameOf(service.policy)},
       {"queue_limit_ms", std::int64_t{service.queue_limit.count()}},
       {"queue_length", service.queue_length},
-      {"retry_share", service.retry_share}};
+      {"retry_share", service.retry_share},
+      {"health_path", service.health_path},
+      {"max_connections", service.max_connections}};
 }
 
 JsonValue Describe(const Upstream& upstream) {
@@ -20,13 +24,24 @@
 }
 
 JsonValue Describe(const Rule& rule) {
-  return JsonValue::Object{{"service", rule.service},
-                           {"method", rule.method},
-                           {"path", rule.path},
-                           {"idempotent", rule.idempotent},
-                           {"deadline_ms", std::int64_t{rule.deadline.count()}},
-                           {"weight", NameOf(rule.weight)},
-                           {"priority", rule.priority}};
+  JsonValue::Object split;
+  std::ranges::for_each(rule.split, [&](const SplitPart& part) {
+    split.push_back({part.service, part.weight});
+  });
+  return JsonValue::Object{
+      {"service", rule.service},
+      {"method", rule.method},
+      {"path", rule.path},
+      {"host", rule.host},
+      {"prefix", rule.prefix},
+      {"split", std::move(split)},
+      {"urgency", rule.urgency},
+      {"max_attempts", rule.max_attempts},
+      {"objective_ms", std::int64_t{rule.objective.count()}},
+      {"idempotent", rule.idempotent},
+      {"deadline_ms", std::int64_t{rule.deadline.count()}},
+      {"weight", NameOf(rule.weight)},
+      {"priority", rule.priority}};
 }
 
 template <typename Section>
--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> kSections = {"services", "upstreams",
-                                                       "rules"};
+constexpr std::array<std::string_view, 4> kSections = {"services", "upstreams",
+                                                       "rules", "bounds"};
+
+/// The only entry of the section `bounds`.
+constexpr std::string_view kCallersEntry = "callers";
 
 /// An entry while files are merged: the fields so far, and who set each.
 struct DraftEntry {
@@ -138,11 +141,17 @@
 }
 
 constexpr IntRange kDeadlineRangeMs{1, 600'000};
+constexpr IntRange kObjectiveRangeMs{0, 600'000};
 constexpr IntRange kQueueRangeMs{0, 60'000};
 constexpr IntRange kQueueLengthRange{0, 10'000};
 constexpr IntRange kSlotRange{1, 10'000};
 constexpr IntRange kShortSlotRange{0, 9'999};
 constexpr IntRange kPriorityRange{-1000, 1000};
+constexpr IntRange kUrgencyRange{0, 1000};
+constexpr IntRange kAttemptRange{1, 100};
+constexpr IntRange kSplitWeightRange{0, 1'000'000};
+constexpr IntRange kConnectionRange{0, 1'000'000};
+constexpr IntRange kBytesRange{64, 1LL << 40};
 
 Service ReadService(const std::string& name, ObjectReader& reader) {
   Service service;
@@ -155,6 +164,9 @@
       reader.Int("queue_length", kQueueLengthRange, service.queue_length));
   service.retry_share =
       reader.Double("retry_share", 0.0, 1.0, service.retry_share);
+  service.health_path = reader.String("health_path", "");
+  service.max_connections = static_cast<std::uint32_t>(
+      reader.Int("max_connections", kConnectionRange, 0));
   return service;
 }
 
@@ -175,20 +187,83 @@
   return upstream;
 }
 
+/// The parts of `split`, an object from service to weight; empty if absent.
+std::vector<SplitPart> ReadSplit(ObjectReader& reader) {
+  std::vector<SplitPart> parts;
+  const JsonValue* value = reader.Get("split");
+  if (value == nullptr) {
+    return parts;
+  }
+  const JsonValue::Object* object = value->AsObject();
+  if (object == nullptr || object->empty()) {
+    reader.Report("split", FieldFault::kWrongType);
+    return parts;
+  }
+  std::uint64_t sum = 0;
+  std::ranges::for_each(*object, [&](const JsonMember& member) {
+    const std::int64_t* weight = member.value.AsInt();
+    if (weight == nullptr || *weight < kSplitWeightRange.low ||
+        *weight > kSplitWeightRange.high) {
+      reader.Report("split", FieldFault::kOutOfRange);
+      return;
+    }
+    sum += static_cast<std::uint64_t>(*weight);
+    parts.push_back({member.key, static_cast<std::uint32_t>(*weight)});
+  });
+  if (sum == 0) {
+    reader.Report("split", FieldFault::kOutOfRange);
+  }
+  return parts;
+}
+
 Rule ReadRule(const std::string& name, ObjectReader& reader) {
   Rule rule;
   rule.name = name;
-  rule.service = reader.String("service", std::nullopt);
+  rule.split = ReadSplit(reader);
+  rule.service = reader.String("service", rule.split.empty()
+                                              ? std::nullopt
+                                              : std::optional<std::string>(""));
   rule.method = reader.String("method", "*");
-  rule.path = reader.String("path", std::nullopt);
+  rule.host = reader.String("host", "");
+  rule.prefix = reader.String("prefix", "");
+  rule.path = reader.String("path", rule.prefix.empty()
+                                        ? std::nullopt
+                                        : std::optional<std::string>(""));
   rule.idempotent = reader.Bool("idempotent", false);
   rule.deadline =
       reader.Millis("deadline_ms", kDeadlineRangeMs, rule.deadline.count());
   rule.weight = reader.Name<WeightClass>("weight", WeightFromName, rule.weight);
   rule.priority = reader.Int("priority", kPriorityRange, rule.priority);
+  rule.objective = reader.Millis("objective_ms", kObjectiveRangeMs, 0);
+  rule.urgency =
+      static_cast<std::uint32_t>(reader.Int("urgency", kUrgencyRange, 0));
+  rule.max_attempts = static_cast<std::uint32_t>(
+      reader.Int("max_attempts", kAttemptRange, rule.max_attempts));
   return rule;
 }
 
+CallerBounds ReadCallerBounds(ObjectReader& reader) {
+  const auto bytes = [&](std::string_view key) -> std::optional<std::size_t> {
+    if (reader.Get(key) == nullptr) {
+      return std::nullopt;
+    }
+    return static_cast<std::size_t>(reader.Int(key, kBytesRange, std::nullopt));
+  };
+  const auto millis =
+      [&](std::string_view key) -> std::optional<std::chrono::milliseconds> {
+    if (reader.Get(key) == nullptr) {
+      return std::nullopt;
+    }
+    return reader.Millis(key, kDeadlineRangeMs, std::nullopt);
+  };
+  CallerBounds bounds;
+  bounds.max_head_bytes = bytes("max_head_bytes");
+  bounds.max_body_bytes = bytes("max_body_bytes");
+  bounds.head_timeout = millis("head_timeout_ms");
+  bounds.idle_timeout = millis("idle_timeout_ms");
+  return bounds;
+}
+
 void ReadSections(Draft& draft, Configuration& result) {
   for (const auto& item : draft.sections["services"]) {
     ReadEntry(draft, "services", item.first, item.second,
@@ -208,6 +283,17 @@
                 result.rules[item.first] = ReadRule(item.first, reader);
               });
   }
+  for (const auto& item : draft.sections["bounds"]) {
+    if (item.first != kCallersEntry) {
+      Report(draft, item.second.file, "bounds." + item.first,
+             ConfigFault::kUnknownKey);
+      continue;
+    }
+    ReadEntry(draft, "bounds", item.first, item.second,
+              [&](ObjectReader& reader) {
+                result.callers = ReadCallerBounds(reader);
+              });
+  }
 }
 
 void CheckServiceName(Draft& draft,
@@ -255,12 +341,33 @@
          }));
 }
 
+/// A prefix rule names a host in lower case, a prefix between slashes, and no
+/// pattern or method besides.
+void CheckPrefix(Draft& draft, const std::string& name, const Rule& rule) {
+  const bool slashes = rule.prefix.size() >= 2 && rule.prefix.front() == '/' &&
+                       rule.prefix.back() == '/';
+  const bool host =
+      !rule.host.empty() && std::ranges::none_of(rule.host, [](char c) {
+        return (c >= 'A' && c <= 'Z') || c == ':' || c == '/' || c <= ' ';
+      });
+  if ((!slashes && rule.prefix != "/") || !host || !rule.path.empty() ||
+      rule.method != "*") {
+    Report(draft, draft.sections["rules"][name].file,
+           "rules." + name + ".prefix", ConfigFault::kBadPrefix, rule.prefix);
+  }
+}
+
 void CheckRules(Draft& draft, const Configuration& result) {
   bool all_parse = true;
   for (const auto& [name, rule] : result.rules) {
     const std::string& file = draft.sections["rules"][name].file;
     CheckServiceName(draft, result, "rules", name, rule.service);
-    if (!ParsePattern(rule.path)) {
+    std::ranges::for_each(rule.split, [&](const SplitPart& part) {
+      CheckServiceName(draft, result, "rules", name, part.service);
+    });
+    if (!rule.prefix.empty() || !rule.host.empty()) {
+      CheckPrefix(draft, name, rule);
+    } else if (!ParsePattern(rule.path)) {
       all_parse = false;
       Report(draft, file, "rules." + name + ".path", ConfigFault::kBadPath,
              rule.path);
--- a/src/libyuccamast/config/rule_table.cpp
+++ b/src/libyuccamast/config/rule_table.cpp
@@ -1,6 +1,7 @@
 #include "config/rule_table.h"
 
 #include <algorithm>
+#include <cctype>
 #include <tuple>
 
 namespace yuccamast {
@@ -104,7 +105,11 @@
 
 RuleTable::RuleTable(const std::map<std::string, Rule, std::less<>>& rules) {
   for (const auto& [name, rule] : rules) {
-    m_entries.push_back({rule, *ParsePattern(rule.path)});
+    if (rule.prefix.empty()) {
+      m_entries.push_back({rule, *ParsePattern(rule.path)});
+    } else {
+      m_by_host[rule.host].emplace(rule.prefix, rule);
+    }
   }
   std::ranges::sort(m_entries, [](const Entry& a, const Entry& b) {
     return RankOf(a.rule, a.pattern) > RankOf(b.rule, b.pattern);
@@ -147,6 +152,49 @@
   return best == nullptr ? nullptr : &best->rule;
 }
 
+const Rule* RuleTable::FindPrefix(std::string_view host,
+                                  std::string_view path) const {
+  std::string name(host.substr(0, host.rfind(':')));
+  std::ranges::transform(name, name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  const auto prefixes = m_by_host.find(name);
+  if (prefixes == m_by_host.end()) {
+    return nullptr;
+  }
+  // Every prefix ends with a slash, so only cuts after a slash can match.
+  for (std::size_t cut = path.rfind('/'); cut != std::string_view::npos;
+       cut = cut == 0 ? std::string_view::npos : path.rfind('/', cut - 1)) {
+    const auto found = prefixes->second.find(path.substr(0, cut + 1));
+    if (found != prefixes->second.end()) {
+      return &found->second;
+    }
+  }
+  return nullptr;
+}
+
+namespace {
+
+/// Pairs of rules with the same host and prefix.
+std::vector<RuleOverlap> FindSamePrefixes(
+    const std::map<std::string, Rule, std::less<>>& rules) {
+  std::vector<RuleOverlap> same;
+  std::map<std::pair<std::string, std::string>, std::string> seen;
+  for (const auto& [name, rule] : rules) {
+    if (rule.prefix.empty()) {
+      continue;
+    }
+    const auto [first, is_new] =
+        seen.emplace(std::pair(rule.host, rule.prefix), name);
+    if (!is_new) {
+      same.push_back({first->second, name});
+    }
+  }
+  return same;
+}
+
+}  // namespace
+
 std::vector<RuleOverlap> FindOverlaps(
     const std::map<std::string, Rule, std::less<>>& rules) {
   struct Ranked {
@@ -156,13 +204,16 @@
   };
   std::vector<Ranked> ranked;
   for (const auto& [name, rule] : rules) {
+    if (!rule.prefix.empty()) {
+      continue;
+    }
     PathPattern pattern = *ParsePattern(rule.path);
     const Rank rank = RankOf(rule, pattern);
     ranked.push_back({&rule, std::move(pattern), rank});
   }
   // Only rules of equal rank can overlap; they stand side by side.
   std::ranges::stable_sort(ranked, std::less<>(), &Ranked::rank);
-  std::vector<RuleOverlap> overlaps;
+  std::vector<RuleOverlap> overlaps = FindSamePrefixes(rules);
   for (std::size_t a = 0; a < ranked.size(); ++a) {
     for (std::size_t b = a + 1;
          b < ranked.size() && ranked[b].rank == ranked[a].rank; ++b) {
--- a/src/libyuccamast/config/rule_table.h
+++ b/src/libyuccamast/config/rule_table.h
@@ -31,6 +31,9 @@
   /// The first rule in rank order that matches, or null.
   const Rule* Find(std::string_view method, std::string_view path) const;
 
+  /// The rule with the longest prefix of `host` that begins `path`, or null.
+  const Rule* FindPrefix(std::string_view host, std::string_view path) const;
+
  private:
   struct Entry {
     Rule rule;
@@ -44,6 +47,9 @@
   std::vector<Entry> m_entries;  ///< In rank order.
   std::map<std::string, std::vector<std::size_t>, std::less<>> m_by_first;
   std::vector<std::size_t> m_any_first;
+  /// Prefix rules by host, then by prefix.
+  std::map<std::string, std::map<std::string, Rule, std::less<>>, std::less<>>
+      m_by_host;
 };
 
 /// Two rules of equal rank that can match the same request.
@@ -52,7 +58,9 @@
   std::string second;
 };
 
-/// Every pair of rules that overlap. Precondition: all paths parse.
+/// Every pair of rules that overlap: patterns of equal rank that can match the
+/// same request, or the same prefix of the same host twice. Precondition: all
+/// paths parse.
 std::vector<RuleOverlap> FindOverlaps(
     const std::map<std::string, Rule, std::less<>>& rules);
 
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -34,17 +34,18 @@
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
-                                   const CallerLimits& limits,
+                                   const Dialect& dialect,
                                    MemoryBudget& budget,
                                    Metrics& metrics,
                                    const CallerHooks& hooks)
     : m_stream(std::move(socket)),
       m_timer(m_stream.get_executor()),
-      m_limits(limits),
+      m_dialect(dialect),
+      m_limits(hooks.limits()),
       m_metrics(metrics),
       m_hooks(hooks),
       m_memory(budget),
-      m_buffer(limits.max_head_bytes + kReadChunk) {
+      m_buffer(m_limits.max_head_bytes + kReadChunk) {
   GuardAgainstSilence(m_stream.socket(), m_limits.silence);
 }
 
@@ -54,18 +55,15 @@
 
 void CallerConnection::WaitForRequest() {
   m_phase = Phase::kIdle;
+  m_limits = m_hooks.limits();
+  m_caller_id.clear();
   if (m_buffer.size() > 0) {
     ReadHead();
     return;
   }
   // An idle connection holds no buffer: only readiness is waited for.
   m_buffer = beast::flat_buffer(m_limits.max_head_bytes + kReadChunk);
-  m_timer.expires_after(m_limits.idle_timeout);
-  m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-    if (!error) {
-      self->CloseIfIdle();
-    }
-  });
+  ArmIdleTimer(m_limits.idle_timeout);
   m_stream.socket().async_wait(
       boost::asio::ip::tcp::socket::wait_read,
       [self = shared_from_this()](const error_code& error) {
@@ -73,6 +71,24 @@
       });
 }
 
+void CallerConnection::ArmIdleTimer(Duration limit) {
+  m_timer.expires_after(limit);
+  m_timer.async_wait([self = shared_from_this()](const error_code& error) {
+    if (error || self->m_phase != Phase::kIdle) {
+      return;
+    }
+    // A bound that was raised meanwhile holds for callers who know it.
+    const Duration now_in_force = self->m_hooks.limits().idle_timeout;
+    if (now_in_force > self->m_limits.idle_timeout) {
+      const Duration rest = now_in_force - self->m_limits.idle_timeout;
+      self->m_limits.idle_timeout = now_in_force;
+      self->ArmIdleTimer(rest);
+      return;
+    }
+    self->CloseIfIdle();
+  });
+}
+
 void CallerConnection::OnReadable(const error_code& error) {
   m_timer.cancel();
   if (error || m_phase != Phase::kIdle) {
@@ -150,6 +166,9 @@
   m_version = m_parser->get().version();
   m_keep_alive = m_parser->get().keep_alive();
   m_head_request = m_parser->get().method() == http::verb::head;
+  if (!m_dialect.caller_id_field.empty()) {
+    m_caller_id = std::string(m_parser->get()[m_dialect.caller_id_field]);
+  }
   if (const auto reason = CheckHead()) {
     Refuse(*reason);
     return;
@@ -301,7 +320,9 @@
   for (const HttpField& field : EndToEnd(reply.fields)) {
     response.insert(field.name, field.value);
   }
-  response.set(std::string(kCallIdField), call_id);
+  if (m_dialect.own_fields) {
+    response.set(std::string(kCallIdField), call_id);
+  }
   if (m_head_request) {
     const std::string* length = FindField(reply.fields, "content-length");
     if (length != nullptr) {
@@ -327,13 +348,20 @@
   if (!call_id.empty()) {
     response.set(std::string(kCallIdField), call_id);
   }
+  if (!m_caller_id.empty()) {
+    response.set(m_dialect.caller_id_field, m_caller_id);
+  }
   JsonValue::Object body{{"outcome", NameOf(info.claim)},
                          {"reason", info.name},
                          {"call_id", call_id}};
   if (info.retry_after) {
-    const unsigned seconds = m_hooks.retry_after();
-    response.set(http::field::retry_after, std::to_string(seconds));
-    body.push_back({"retry_after_s", seconds});
+    const Duration wait = m_hooks.retry_after();
+    response.set(http::field::retry_after, m_dialect.retry_after(wait));
+    body.push_back(
+        {"retry_after_ms",
+         std::int64_t{
+             std::chrono::duration_cast<std::chrono::milliseconds>(wait)
+                 .count()}});
   }
   response.set(http::field::content_type, "application/json");
   const std::string text = WriteJson(body) + "\n";
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "http/dialect.h"
 #include "http/memory_budget.h"
 #include "link/messages.h"
 #include "metrics/metrics.h"
@@ -71,15 +72,17 @@
   /// Whether replies should ask callers to close their connection.
   std::function<bool()> leaving;
   std::function<void(CallerConnection*)> on_closed;
-  /// `Retry-After` in seconds for a refusal.
-  std::function<unsigned()> retry_after;
+  /// When a refused caller should come back.
+  std::function<Duration()> retry_after;
+  /// Bounds in force; read again for each request.
+  std::function<CallerLimits()> limits;
 };
 
 /// Use from the thread of its io_context only.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(boost::asio::ip::tcp::socket socket,
-                   const CallerLimits& limits,
+                   const Dialect& dialect,
                    MemoryBudget& budget,
                    Metrics& metrics,
                    const CallerHooks& hooks);
@@ -112,6 +115,7 @@
   };
 
   void WaitForRequest();
+  void ArmIdleTimer(Duration limit);
   void OnReadable(const boost::system::error_code& error);
   void ArmReadTimer(Duration limit);
   void Linger();
@@ -135,7 +139,8 @@
 
   boost::beast::tcp_stream m_stream;
   boost::asio::steady_timer m_timer;
-  const CallerLimits& m_limits;
+  const Dialect& m_dialect;
+  CallerLimits m_limits;  ///< In force when the present request was awaited.
   Metrics& m_metrics;
   const CallerHooks& m_hooks;
   MemoryShare m_memory;
@@ -145,6 +150,7 @@
   CallHandle m_call;
   Phase m_phase = Phase::kIdle;
   std::size_t m_lingered = 0;
+  std::string m_caller_id;  ///< Of the present request, if callers give one.
   bool m_keep_alive = true;
   bool m_timed_out = false;
   bool m_head_request = false;
--- /dev/null
+++ b/src/libyuccamast/http/dialect.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "http/fields.h"
+#include "link/messages.h"
+#include "yuccamast/clock.h"
+#include "yuccamast/outcome/refusal.h"
+
+/// \file dialect.h
+/// The HTTP conventions that callers and upstreams share with a node.
+///
+/// What a node decides does not depend on how its neighbours spell it. The
+/// names of the fields, what a reply proves, and where the upstream says how
+/// busy it is are gathered here; `OwnDialect` is the project's own interface,
+/// and an adapter for a platform provides another one.
+
+namespace yuccamast {
+
+/// What a whole reply of the upstream stands for.
+enum class ReplyVerdict : std::uint8_t {
+  kTaken,        ///< The reply to the request; goes to the caller.
+  kNotRun,       ///< The upstream's word that it did not run the request.
+  kMisdirected,  ///< Another upstream answers here; it did not run the request.
+  kForeign,      ///< The reply to another request; the own one may follow.
+  kBroken,       ///< No reply that may be passed on.
+};
+
+/// How busy an upstream says that it is.
+struct UpstreamLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  /// How long work takes on its machine now, in percent of the usual.
+  std::uint32_t slowness = 100;
+};
+
+/// What an upstream's health page says.
+struct HealthWord {
+  bool healthy = false;
+  std::string upstream;  ///< Which one answers; empty if it does not say.
+};
+
+/// Names are used as they are, compared without regard to case. Immutable once
+/// the node runs; the hooks must be thread-safe.
+struct Dialect {
+  /// Names an attempt of a caller; empty: callers give none.
+  std::string caller_id_field;
+  /// Milliseconds for which the caller, or the entry, still waits.
+  std::string deadline_field;
+  /// Service on the VM where a request began; empty: not told.
+  std::string caller_service_field;
+  /// The upstream that a request is meant for; empty: not told.
+  std::string expected_upstream_field;
+  /// Whether the project's own fields travel to callers and upstreams.
+  bool own_fields = true;
+  /// Whether a reply whose end is the end of its connection may be whole.
+  bool accepts_unframed = false;
+  /// `caller_id` is empty if the request had none.
+  std::function<ReplyVerdict(const HttpReply&, const std::string& caller_id)>
+      judge;
+  std::function<std::optional<UpstreamLoad>(const HttpReply&)> read_load;
+  std::function<HealthWord(const HttpReply&)> read_health;
+  /// Whether a reply says that its upstream is leaving.
+  std::function<bool(const HttpReply&)> says_leaving;
+  /// Text of a Retry-After field.
+  std::function<std::string(Duration)> retry_after;
+};
+
+/// The project's own interface; see docs/OPERATIONS.md.
+const Dialect& OwnDialect();
+
+}  // namespace yuccamast
--- a/src/libyuccamast/http/fields.cpp
+++ b/src/libyuccamast/http/fields.cpp
@@ -66,6 +66,15 @@
   return found == fields.end() ? nullptr : &found->value;
 }
 
+void SetField(std::vector<HttpField>& fields,
+              std::string_view name,
+              std::string value) {
+  std::erase_if(fields, [&](const HttpField& field) {
+    return EqualFold(field.name, name);
+  });
+  fields.push_back({std::string(name), std::move(value)});
+}
+
 std::vector<HttpField> EndToEnd(const std::vector<HttpField>& fields) {
   std::vector<HttpField> kept;
   std::ranges::copy_if(
--- a/src/libyuccamast/http/fields.h
+++ b/src/libyuccamast/http/fields.h
@@ -29,6 +29,11 @@
 const std::string* FindField(const std::vector<HttpField>& fields,
                              std::string_view name);
 
+/// Replaces every field with the name by one with the value.
+void SetField(std::vector<HttpField>& fields,
+              std::string_view name,
+              std::string value);
+
 /// The fields that travel on to the next hop: without those of one connection
 /// (RFC 9110, section 7.6.1), those that frame the body, and the project's.
 std::vector<HttpField> EndToEnd(const std::vector<HttpField>& fields);
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -13,13 +13,22 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+/// Replies to other requests that are read before the connection is given up.
+constexpr std::size_t kMaxForeign = 3;
+
+}  // namespace
+
 UpstreamPool::UpstreamPool(boost::asio::io_context& io,
                            tcp::endpoint endpoint,
                            const UpstreamLimits& limits,
+                           const Dialect& dialect,
                            Metrics& metrics)
     : m_io(io),
       m_endpoint(std::move(endpoint)),
       m_limits(limits),
+      m_dialect(dialect),
       m_metrics(metrics) {}
 
 UpstreamPool::~UpstreamPool() = default;
@@ -243,35 +252,74 @@
                            : RefusalReason::kUpstreamLost;
 }
 
+bool UpstreamRun::IsFramed() const {
+  const auto& message = m_parser->get();
+  return IsPlanted(PlantedFault::kCutReply) || m_parser->chunked() ||
+         m_parser->content_length() || m_request.method == "HEAD" ||
+         message.result_int() == 204 || message.result_int() == 304;
+}
+
+HttpReply UpstreamRun::TakeReply() {
+  auto whole = m_parser->release();
+  HttpReply reply;
+  reply.status = whole.result_int();
+  for (const auto& field : whole) {
+    reply.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  reply.body = std::move(whole.body());
+  return reply;
+}
+
 void UpstreamRun::Succeed() {
   // Without a length or chunks, the end of the body is the end of the
-  // connection, and a cut reply cannot be told from a whole one.
-  const auto& message = m_parser->get();
-  const bool framed =
-      IsPlanted(PlantedFault::kCutReply) || m_parser->chunked() ||
-      m_parser->content_length() || m_request.method == "HEAD" ||
-      message.result_int() == 204 || message.result_int() == 304;
-  if (!framed) {
+  // connection. A reset is an error of the read, so an orderly end is at hand;
+  // whether it proves the reply whole is up to the dialect.
+  const bool framed = IsFramed();
+  if (!framed && !m_pool.m_dialect.accepts_unframed) {
     Fail(RefusalReason::kReplyIncomplete);
     return;
   }
-  m_over = true;
+  const bool open = framed && m_parser->keep_alive();
   const bool keep =
-      m_written && m_parser->keep_alive() && m_connection->buffer.size() == 0;
-  auto whole = m_parser->release();
+      open && m_written && m_foreign == 0 && m_connection->buffer.size() == 0;
+  Judge(TakeReply(), open, keep);
+}
+
+void UpstreamRun::Judge(HttpReply reply, bool may_follow, bool keep) {
+  switch (m_pool.m_dialect.judge(reply, m_request.caller_id)) {
+    case ReplyVerdict::kForeign:
+      if (!may_follow || ++m_foreign > kMaxForeign) {
+        Fail(RefusalReason::kUpstreamLost);
+      } else {
+        ReadHead();
+      }
+      return;
+    case ReplyVerdict::kBroken:
+      Fail(RefusalReason::kReplyIncomplete);
+      return;
+    case ReplyVerdict::kNotRun:
+      Release(keep);
+      m_hooks.done(RefusalReason::kUpstreamShed);
+      return;
+    case ReplyVerdict::kMisdirected:
+      Release(keep);
+      m_hooks.done(RefusalReason::kMisdirected);
+      return;
+    case ReplyVerdict::kTaken:
+      break;
+  }
+  Release(keep);
+  m_hooks.done(std::move(reply));
+}
+
+void UpstreamRun::Release(bool keep) {
+  m_over = true;
   if (keep) {
     m_pool.Keep(m_connection);
   } else {
     m_pool.Drop(m_connection);
   }
-  HttpReply reply;
-  reply.status = whole.result_int();
-  for (const auto& field : whole) {
-    reply.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  reply.body = std::move(whole.body());
-  m_hooks.done(std::move(reply));
 }
 
 void UpstreamRun::Fail(RefusalReason reason) {
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "http/dialect.h"
 #include "link/messages.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
@@ -27,7 +28,9 @@
 /// A kept connection is watched while it is idle and dropped when the upstream
 /// closes it; a request only takes a kept connection that was used a moment
 /// ago, otherwise a fresh one, since an older one may have gone silent. A reply
-/// counts only when its end is proven by its length or its last chunk.
+/// counts only when its end is proven by its length or its last chunk, or, if
+/// the dialect allows, by the orderly end of its connection. A reply to another
+/// request is read and dropped; its connection is not kept.
 
 namespace yuccamast {
 
@@ -52,6 +55,7 @@
   std::vector<HttpField> fields;
   std::string body;
   bool idempotent = false;
+  std::string caller_id;  ///< Of the attempt; replies are told apart by it.
 };
 
 /// What became of a run.
@@ -75,6 +79,7 @@
   UpstreamPool(boost::asio::io_context& io,
                boost::asio::ip::tcp::endpoint endpoint,
                const UpstreamLimits& limits,
+               const Dialect& dialect,
                Metrics& metrics);
   ~UpstreamPool();
 
@@ -110,6 +115,7 @@
   boost::asio::io_context& m_io;
   const boost::asio::ip::tcp::endpoint m_endpoint;
   const UpstreamLimits& m_limits;
+  const Dialect& m_dialect;
   Metrics& m_metrics;
   std::list<ConnectionPtr> m_idle;  ///< Most recently used first.
   std::size_t m_open = 0;
@@ -138,6 +144,10 @@
   void ReadBody();
   void OnBody(const boost::system::error_code& error);
   void Succeed();
+  bool IsFramed() const;
+  HttpReply TakeReply();
+  void Judge(HttpReply reply, bool may_follow, bool keep);
+  void Release(bool keep);
   void Fail(RefusalReason reason);
   void BuildMessage();
   RefusalReason ReasonOf(const boost::system::error_code& error) const;
@@ -150,6 +160,7 @@
   std::optional<Parser> m_parser;
   bool m_written = false;
   bool m_over = false;
+  std::size_t m_foreign = 0;  ///< Replies to other requests, read and dropped.
 };
 
 }  // namespace yuccamast
--- a/src/libyuccamast/http/upstream_watch.h
+++ b/src/libyuccamast/http/upstream_watch.h
@@ -3,36 +3,47 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "http/dialect.h"
+#include "metrics/metrics.h"
 #include "yuccamast/clock.h"
 
 /// \file upstream_watch.h
-/// Notices that the upstream beside the node drains, and that it is back.
+/// Asks the upstream beside the node how it is, on a connection of its own.
 ///
-/// The sign of draining is the `Yuccamast-Upstream-Leaving` field on any reply.
-/// With a health path, the watch asks for it every period and follows the
-/// field on its replies both ways. Without one, a draining upstream counts as
-/// back once its port refused a connection and then accepted one again, which
-/// means that another process has taken its place.
+/// With a health path, the watch asks for it every period; what the reply says
+/// of draining, of the upstream's name and of its load goes to the hooks. The
+/// connection is kept between questions. Without a path only the signs on
+/// replies to calls are known, and a draining upstream counts as back once its
+/// port refused a connection and then accepted one again, which means that
+/// another process has taken its place.
 
 namespace yuccamast {
 
+/// What the owner is told; called on the watch's thread.
+struct UpstreamWatchHooks {
+  /// `draining` changed.
+  std::function<void(bool draining)> on_change;
+  /// A reply of the health page, with the load that it carried.
+  std::function<void(const HealthWord&, const std::optional<UpstreamLoad>&)>
+      on_word;
+};
+
 /// Use from the thread of its io_context only.
 class UpstreamWatch {
  public:
-  using ChangeHook = std::function<void(bool draining)>;
-
   UpstreamWatch(boost::asio::io_context& io,
                 boost::asio::ip::tcp::endpoint endpoint,
                 std::string health_path,
-                ChangeHook on_change);
+                Duration period,
+                const Dialect& dialect,
+                Metrics& metrics,
+                UpstreamWatchHooks hooks);
+  ~UpstreamWatch();
 
   /// Starts to look at the upstream now and then.
   void Start();
@@ -41,6 +52,9 @@
   /// A reply to a call carried the sign.
   void OnSign();
 
+  /// The path to ask from now on; empty: none.
+  void SetPath(const std::string& path) { m_health_path = path; }
+
   bool draining() const { return m_draining; }
 
  private:
@@ -50,13 +64,18 @@
   void LookNow();
   void OnConnected(const std::shared_ptr<Look>& look, bool connected);
   void Ask(const std::shared_ptr<Look>& look);
+  void OnReply(const std::shared_ptr<Look>& look, bool whole);
   void Set(bool draining);
 
   boost::asio::io_context& m_io;
   const boost::asio::ip::tcp::endpoint m_endpoint;
-  const std::string m_health_path;
-  const ChangeHook m_on_change;
+  std::string m_health_path;
+  const Duration m_period;
+  const Dialect& m_dialect;
+  Metrics& m_metrics;
+  const UpstreamWatchHooks m_hooks;
   boost::asio::steady_timer m_timer;
+  std::shared_ptr<Look> m_look;  ///< The kept connection, if there is one.
   bool m_draining = false;
   bool m_was_down = false;
   bool m_stopped = false;
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -47,6 +47,9 @@
   kCallerRefused,
   kMemberChanged,
   kUpstreamDraining,
+  kUpstreamNamed,
+  kSourceCallFailed,
+  kSourceItemRefused,
   kInternal,
 };
 
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -39,6 +39,7 @@
     {"pauses", "Pauses of this process that it noticed."},
     {"config_reads", "Calls on the configuration service."},
     {"vm_list_reads", "Calls on the VM list."},
+    {"source_items_refused", "Items of the source that cannot be understood."},
     {"control_bytes_sent", "Bytes of control messages sent to peers."},
     {"control_bytes_received", "Bytes of control messages from peers."},
     {"control_messages_sent", "Control messages sent to peers."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -43,6 +43,7 @@
   kPauses,
   kConfigReads,
   kVmListReads,
+  kSourceItemsRefused,
   kControlBytesSent,
   kControlBytesReceived,
   kControlMessagesSent,
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -31,6 +31,13 @@
 /// A list that lost half of its VMs must be read this often to be believed.
 constexpr std::size_t kShortListReads = 5;
 
+/// Upstreams that lapsed with the list's service are listed again within this.
+constexpr Duration kListSettle = std::chrono::milliseconds(2200);
+
+/// Up to this many members, each node reads a current source itself: the
+/// source bears it, and no node depends on the readers' being alive.
+constexpr std::size_t kSmallFleet = 100;
+
 /// A request for what a peer holds.
 struct HeldRequest {
   std::uint8_t kind = 0;
@@ -67,7 +74,8 @@
 ControlPlane::ControlPlane(asio::io_context& io,
                            const NodeSettings& settings,
                            FleetStore& store,
-                           Metrics& metrics)
+                           Metrics& metrics,
+                           SourceFactory open_source)
     : m_io(io),
       m_settings(settings),
       m_store(store),
@@ -75,6 +83,8 @@
       m_socket(io, settings, metrics),
       m_random(std::random_device{}()),
       m_membership(SelfRecord(settings), MembershipOptions{}, MakeHooks()),
+      m_open_source(std::move(open_source)),
+      m_doubt(kListSettle),
       m_started_at(Clock::now()),
       m_pause(kPauseGap, kSettle, Clock::now()),
       m_tick(io) {}
@@ -111,13 +121,16 @@
                  [this](const GossipMessage& message) {
                    m_membership.OnMessage(message, Clock::now());
                  });
-  m_watcher = std::make_unique<PlatformWatcher>(m_settings, m_metrics,
-                                                MakeWatcherHooks());
+  m_source = m_open_source(m_io, m_settings, m_metrics, MakeSourceHooks());
   ArmTick();
 }
 
-WatcherHooks ControlPlane::MakeWatcherHooks() {
-  WatcherHooks hooks;
+SourceHooks ControlPlane::MakeSourceHooks() {
+  SourceHooks hooks;
+  hooks.is_reader = [this] { return m_is_reader.load(); };
+  hooks.on_reachable = [this](bool reachable) {
+    asio::post(m_io, [this, reachable] { OnSourceReachable(reachable); });
+  };
   hooks.reads_config = [this] { return m_reads_config.load(); };
   hooks.reads_vms = [this] { return m_reads_vms.load(); };
   hooks.revision = [this] { return m_wait_beyond.load(); };
@@ -133,9 +146,35 @@
   return hooks;
 }
 
+void ControlPlane::OnSourceReachable(bool reachable) {
+  const TimePoint now = Clock::now();
+  if (!m_settings.upstreams_listed || m_vms == nullptr) {
+    return;
+  }
+  if (!reachable) {
+    m_doubt.OnLost(m_vms);
+  } else if (m_doubt.in_doubt()) {
+    m_doubt.OnRegained(now);
+  }
+}
+
+void ControlPlane::UseList(TimePoint now) {
+  const auto list = m_doubt.Apply(m_vms);
+  std::vector<ListedMember> listed;
+  std::ranges::transform(list->vms, std::back_inserter(listed),
+                         [](const VmRecord& vm) {
+                           return ListedMember{vm.id, vm.ip, vm.inner_port,
+                                               vm.data_centre, vm.region};
+                         });
+  m_membership.SetListed(listed, now);
+  m_store.SetVms(list);
+}
+
 bool ControlPlane::AcceptsFrom(const std::string& ip) const {
-  if (m_vms == nullptr) {
-    return true;  // Nothing is known yet; the seal is the only guard.
+  if (m_vms == nullptr || m_settings.upstreams_listed) {
+    // Either nothing is known yet, or the list names the VMs with an upstream
+    // only, and a node may outlive its upstream. The seal is the only guard.
+    return true;
   }
   return std::ranges::any_of(m_vms->vms,
                              [&](const VmRecord& vm) { return vm.ip == ip; });
@@ -150,7 +189,11 @@
       offered != m_keeper.refused_version()) {
     Fetch(Kind::kConfig, holder);
   }
-  if (vm_list > m_vm_version) {
+  if (vm_list.revision > m_vm_version.revision &&
+      vm_list.digest == m_vm_version.digest) {
+    m_vm_version = vm_list;  // The same list, read again later.
+    m_membership.SetVmList(m_vm_version);
+  } else if (vm_list > m_vm_version) {
     Fetch(Kind::kVmList, holder);
   }
 }
@@ -219,6 +262,9 @@
 }
 
 bool ControlPlane::Joined() const {
+  if (m_source.is_current) {
+    return true;
+  }
   const TimePoint now = Clock::now();
   const std::size_t peers = m_membership.members().size();
   const std::size_t wanted = std::min(kJoinPeers, peers);
@@ -288,7 +334,8 @@
 
 void ControlPlane::OnServiceVms(VmList list) {
   const std::size_t before = m_vms == nullptr ? 0 : m_vms->vms.size();
-  if (list.vms.size() * 2 < before && ++m_short_lists < kShortListReads) {
+  if (!m_source.is_current && list.vms.size() * 2 < before &&
+      ++m_short_lists < kShortListReads) {
     Log(LogLevel::kWarning, LogEvent::kVmListRefused,
         {{"vms", list.vms.size()}, {"before", before}});
     return;
@@ -298,27 +345,28 @@
 }
 
 void ControlPlane::OfferVms(VmList list) {
-  std::string text = WriteVmList(list);
-  const HeldVersion version{list.revision, DigestOf({{"vms", text}})};
+  // The digest is of what is listed, so that the same list read at another
+  // revision is known as the same.
+  VmList unversioned = list;
+  unversioned.revision = 0;
+  const HeldVersion version{list.revision,
+                            DigestOf({{"vms", WriteVmList(unversioned)}})};
   if (m_vms != nullptr && version <= m_vm_version) {
     return;
   }
+  const bool same = m_vms != nullptr && version.digest == m_vm_version.digest;
   m_vm_version = version;
+  m_membership.SetVmList(version);
+  if (same) {
+    return;
+  }
   m_vms = std::make_shared<const VmList>(std::move(list));
-  std::vector<ListedMember> listed;
-  std::ranges::transform(m_vms->vms, std::back_inserter(listed),
-                         [](const VmRecord& vm) {
-                           return ListedMember{vm.id, vm.ip, vm.inner_port,
-                                               vm.data_centre, vm.region};
-                         });
   const TimePoint now = Clock::now();
-  m_membership.SetVmList(version);
-  m_membership.SetListed(listed, now);
+  UseList(now);
   if (m_listed_at == TimePoint{}) {
     m_listed_at = now;
     m_membership.Join(kJoinPeers + 2, now);
   }
-  m_store.SetVms(m_vms);
   PublishHeld();
   Log(LogLevel::kInfo, LogEvent::kVmListAccepted,
       {{"revision", version.revision}, {"vms", m_vms->vms.size()}});
@@ -331,7 +379,11 @@
   held->config_text =
       WritePublishedConfig({version.revision, m_keeper.files()});
   held->vm_list = m_vm_version;
-  held->vm_list_text = m_vms == nullptr ? "" : WriteVmList(*m_vms);
+  if (m_vms != nullptr) {
+    VmList list = *m_vms;
+    list.revision = m_vm_version.revision;
+    held->vm_list_text = WriteVmList(list);
+  }
   m_held.store(std::move(held));
 }
 
@@ -395,11 +447,17 @@
     PublishLiveness();
   }
   CheckOld(now);
+  if (m_doubt.TakeEnd(now)) {
+    UseList(now);
+  }
   const bool reader = m_vms != nullptr && IsReader(m_membership);
+  m_is_reader = reader;
+  const bool small =
+      m_source.is_current && m_membership.members().size() < kSmallFleet;
   const bool starved =
       m_keeper.in_force() == nullptr && now - m_started_at >= kReadAnyway;
-  m_reads_config = reader || starved;
-  m_reads_vms = reader || m_vms == nullptr;
+  m_reads_config = reader || starved || small;
+  m_reads_vms = reader || m_vms == nullptr || small;
   if (m_unjoined_config && Joined()) {
     const PublishedConfig config = std::move(*m_unjoined_config);
     m_unjoined_config.reset();
@@ -414,7 +472,9 @@
 
 void ControlPlane::Close() {
   m_closed = true;
-  m_watcher.reset();
+  if (m_source.close) {
+    m_source.close();
+  }
   m_tick.cancel();
   m_socket.Close();
   std::ranges::for_each(m_links,
@@ -442,9 +502,9 @@
       {"conflict_seen", m_keeper.conflict_seen()},
       {"reads_service", m_reads_config.load()},
       {"service_reachable",
-       m_watcher != nullptr && m_watcher->config_reachable()},
+       m_source.config_reachable && m_source.config_reachable()},
       {"vm_list_reachable",
-       m_watcher != nullptr && m_watcher->vm_list_reachable()},
+       m_source.vm_list_reachable && m_source.vm_list_reachable()},
       {"vm_list_revision", m_vm_version.revision}};
 }
 
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -13,7 +13,8 @@
 #include "node/gossip_socket.h"
 #include "node/peer_link.h"
 #include "node/settings.h"
-#include "platform/watcher.h"
+#include "source/list_doubt.h"
+#include "source/watcher.h"
 #include "yuccamast/config/config_keeper.h"
 #include "yuccamast/membership/membership.h"
 #include "yuccamast/membership/pause_detector.h"
@@ -44,7 +45,8 @@
   ControlPlane(boost::asio::io_context& io,
                const NodeSettings& settings,
                FleetStore& store,
-               Metrics& metrics);
+               Metrics& metrics,
+               SourceFactory open_source);
   ~ControlPlane();
 
   /// Opens the socket and starts to read. Throws if the port is taken.
@@ -68,8 +70,9 @@
   enum class Kind : std::uint8_t { kConfig, kVmList };
 
   MembershipHooks MakeHooks();
-  WatcherHooks MakeWatcherHooks();
-  void StartWatcher();
+  SourceHooks MakeSourceHooks();
+  void OnSourceReachable(bool reachable);
+  void UseList(TimePoint now);
   bool AcceptsFrom(const std::string& ip) const;
   void OnVersions(const MemberRecord& holder,
                   const HeldVersion& config,
@@ -100,10 +103,13 @@
   HeldVersion m_vm_version;
   std::shared_ptr<const VmList> m_vms;
   std::optional<PublishedConfig> m_unjoined_config;
-  std::unique_ptr<PlatformWatcher> m_watcher;
+  const SourceFactory m_open_source;
+  FleetSource m_source;
+  ListDoubt m_doubt;
   std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
   bool m_fetching[2] = {false, false};
   std::atomic<std::shared_ptr<const HeldState>> m_held;
+  std::atomic<bool> m_is_reader{false};
   std::atomic<bool> m_reads_config{false};
   std::atomic<bool> m_reads_vms{true};
   std::atomic<std::uint64_t> m_wait_beyond{0};
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -19,6 +19,12 @@
 /// Shortest remaining time that is worth an offer.
 constexpr Duration kLeastTime = std::chrono::milliseconds(1);
 
+/// A caller's id beyond this length is not used as the id of the call.
+constexpr std::size_t kMaxCallerId = 64;
+
+/// 2^64 over the golden ratio: steps of it spread evenly over the range.
+constexpr std::uint64_t kGoldenStep = 0x9e3779b97f4a7c15U;
+
 bool IsServerError(std::uint32_t status) {
   return status == 500 || status == 502 || status == 503 || status == 504;
 }
@@ -30,15 +36,44 @@
 
 }  // namespace
 
+const SplitPart& SplitTurns::Next(const std::vector<SplitPart>& parts) {
+  m_next += kGoldenStep;
+  std::uint64_t sum = 0;
+  std::ranges::for_each(parts,
+                        [&](const SplitPart& part) { sum += part.weight; });
+  constexpr unsigned kHalf = 32;
+  std::uint64_t at = ((m_next >> kHalf) * sum) >> kHalf;
+  const auto found = std::ranges::find_if(parts, [&](const SplitPart& part) {
+    if (at < part.weight) {
+      return true;
+    }
+    at -= part.weight;
+    return false;
+  });
+  return found == parts.end() ? parts.back() : *found;
+}
+
 EntryCall::EntryCall(EntryContext& context, CallerRequest request, Done done)
     : m_context(context),
       m_request(std::move(request)),
       m_done(std::move(done)),
-      m_id(context.settings.vm + "-" + context.origin_boot + "-" +
-           std::to_string(++context.calls)),
+      m_id(IdOf(context, m_request)),
       m_begun_at(Clock::now()),
       m_timer(context.io) {}
 
+std::string EntryCall::IdOf(EntryContext& context,
+                            const CallerRequest& request) {
+  ++context.calls;
+  const std::string& field = context.settings.dialect->caller_id_field;
+  const std::string* id =
+      field.empty() ? nullptr : FindField(request.fields, field);
+  if (id != nullptr && !id->empty() && id->size() <= kMaxCallerId) {
+    return *id;
+  }
+  return context.settings.vm + "-" + context.origin_boot + "-" +
+         std::to_string(context.calls);
+}
+
 std::optional<RefusalReason> EntryCall::ReadOwnFields() {
   if (const auto* text = FindField(m_request.fields, kDepthField)) {
     const auto depth = ParseCount(*text);
@@ -50,7 +85,8 @@
     }
     m_depth = static_cast<std::uint32_t>(*depth);
   }
-  if (const auto* text = FindField(m_request.fields, kDeadlineField)) {
+  if (const auto* text = FindField(
+          m_request.fields, m_context.settings.dialect->deadline_field)) {
     m_inherited_ms = ParseCount(*text);
     if (!m_inherited_ms) {
       return RefusalReason::kBadRequest;
@@ -60,10 +96,41 @@
   return std::nullopt;
 }
 
+const Rule* EntryCall::FindGoverningRule(std::string_view path,
+                                         RefusalReason& if_none) const {
+  const Configuration& config = *m_view->config;
+  const std::string* host = FindField(m_request.fields, "host");
+  if (host != nullptr) {
+    if (const Rule* rule = FindPrefixRule(config, *host, path)) {
+      return rule;
+    }
+  }
+  if (!CheckPath(path)) {
+    if_none = RefusalReason::kAmbiguousPath;
+    return nullptr;
+  }
+  return FindRule(config, m_request.method, path);
+}
+
+bool EntryCall::ChooseService() {
+  std::string_view name = m_rule->service;
+  if (!m_rule->split.empty()) {
+    const auto turns =
+        m_context.turns.try_emplace(m_rule->name, m_context.random()).first;
+    name = turns->second.Next(m_rule->split).service;
+  }
+  const auto service = m_view->services.find(name);
+  if (service == m_view->services.end()) {
+    return false;
+  }
+  m_service = &service->second;
+  return true;
+}
+
 std::optional<RefusalReason> EntryCall::Match() {
   const std::string_view target = m_request.target;
   const std::string_view path = target.substr(0, target.find('?'));
-  if (!CheckPath(path) || target.find('#') != std::string_view::npos) {
+  if (target.find('#') != std::string_view::npos) {
     return RefusalReason::kAmbiguousPath;
   }
   if (const auto reason = ReadOwnFields()) {
@@ -76,11 +143,14 @@
   if (m_view->config == nullptr || m_view->vms == nullptr) {
     return RefusalReason::kNoConfiguration;
   }
-  m_rule = FindRule(*m_view->config, m_request.method, path);
+  RefusalReason if_none = RefusalReason::kNoRule;
+  m_rule = FindGoverningRule(path, if_none);
   if (m_rule == nullptr) {
-    return RefusalReason::kNoRule;
+    return if_none;
+  }
+  if (!ChooseService()) {
+    return RefusalReason::kNoUpstream;
   }
-  m_service = &m_view->services.find(m_rule->service)->second;
   Duration allowed = m_rule->deadline;
   if (m_inherited_ms) {
     allowed =
@@ -189,6 +259,10 @@
   offer.method = m_request.method;
   offer.target = m_request.target;
   offer.fields = EndToEnd(m_request.fields);
+  const std::string& origin = m_context.settings.dialect->caller_service_field;
+  if (!origin.empty()) {
+    SetField(offer.fields, origin, m_context.settings.service);
+  }
   offer.body = m_request.body;
   return offer;
 }
@@ -265,6 +339,7 @@
     }
     return;
   }
+  ++m_arrivals;
   const bool failed = IsServerError(answer.reply.status);
   EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kAnswered);
   if (failed && m_rule->idempotent && MayRetry()) {
@@ -286,6 +361,13 @@
     Refuse(reason);
     return;
   }
+  if (InfoOf(reason).arrived) {
+    ++m_arrivals;
+    if (!MayArriveAgain()) {
+      Refuse(reason);
+      return;
+    }
+  }
   m_context.metrics.Add(Counter::kCallsMoved);
   TryNext(reason);
 }
@@ -303,14 +385,21 @@
   });
 }
 
-bool EntryCall::MayRetry() {
-  if (m_below_retry || m_offers >= kMaxOffers) {
+bool EntryCall::MayArriveAgain() {
+  if (m_arrivals >= m_rule->max_attempts || m_offers >= kMaxOffers) {
     return false;
   }
   if (!m_service->retries->TryRetry()) {
     m_context.metrics.Add(Counter::kRetriesDenied);
     return false;
   }
+  return true;
+}
+
+bool EntryCall::MayRetry() {
+  if (m_below_retry || !MayArriveAgain()) {
+    return false;
+  }
   m_context.metrics.Add(Counter::kCallsRetried);
   Log(LogLevel::kDebug, LogEvent::kCallRetried,
       {{"call", m_id}, {"rule", m_rule->name}});
@@ -318,6 +407,7 @@
 }
 
 void EntryCall::OnUnknown(RefusalReason reason) {
+  ++m_arrivals;
   if (m_rule->idempotent && reason != RefusalReason::kDeadlineUnknown &&
       MayRetry()) {
     m_may_be_second = true;
@@ -338,6 +428,7 @@
   }
   m_attempt.link->Cancel(m_attempt.offer);
   EndAttempt(AttemptEnd::kFailed);
+  ++m_arrivals;
   m_may_be_second = true;
   TryNext(RefusalReason::kPeerLost);
 }
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -21,7 +22,9 @@
 ///
 /// The rules of moving and retrying are here:
 /// - a refusal with proof of no run may be moved to another upstream, whatever
-///   the rule says, up to `kMaxOffers` offers in all;
+///   the rule says, up to `kMaxOffers` offers in all; if the request had
+///   reached an upstream, the move draws on the retry budget;
+/// - a call reaches at most the rule's `max_attempts` upstreams;
 /// - an unknown outcome ends a non-idempotent call as `unknown`;
 /// - an idempotent call with an unknown outcome or a server error is offered
 ///   again if the retry budget allows and no call above it is a retry.
@@ -32,6 +35,20 @@
 /// Offers of one call, moves and retries together.
 inline constexpr std::size_t kMaxOffers = 4;
 
+/// Divides the calls of a rule among the parts of its split. Successive calls
+/// spread evenly, so that the shares hold over short spans too. Not
+/// thread-safe.
+class SplitTurns {
+ public:
+  explicit SplitTurns(std::uint64_t phase) : m_next(phase) {}
+
+  /// The part that the next call goes to. Precondition: some weight is set.
+  const SplitPart& Next(const std::vector<SplitPart>& parts);
+
+ private:
+  std::uint64_t m_next;  ///< Grows by the golden ratio of its range.
+};
+
 /// What the calls of one entry thread share. Used on that thread only.
 struct EntryContext {
   boost::asio::io_context& io;
@@ -42,6 +59,7 @@
   std::uint64_t boot_id = 0;  ///< Unique to this thread of this process.
   std::uint64_t calls = 0;    ///< Calls begun, for call ids.
   std::mt19937_64 random;
+  std::map<std::string, SplitTurns, std::less<>> turns;  ///< By rule.
   std::function<std::shared_ptr<PeerLink>(const tcp::endpoint&)> link;
   /// Whether the view of the world is too old to route by.
   std::function<bool()> view_is_old;
@@ -80,6 +98,9 @@
 
   void AtStep(CallStep step, std::function<void()> go);
   void MatchAndTry();
+  const Rule* FindGoverningRule(std::string_view path,
+                                RefusalReason& if_none) const;
+  bool ChooseService();
   std::optional<RefusalReason> Match();
   std::optional<RefusalReason> ReadOwnFields();
   void ArmDeadline();
@@ -96,6 +117,8 @@
   void OnDeadline();
   void EndAttempt(AttemptEnd end);
   bool MayRetry();
+  bool MayArriveAgain();
+  static std::string IdOf(EntryContext& context, const CallerRequest& request);
   void Deliver(HttpReply reply, Duration at_upstream);
   void Refuse(RefusalReason reason);
   void Finish();
@@ -114,6 +137,7 @@
   std::vector<std::size_t> m_tried;
   Attempt m_attempt;
   std::size_t m_offers = 0;
+  std::uint32_t m_arrivals = 0;  ///< Offers that may have reached an upstream.
   std::uint32_t m_depth = 0;
   bool m_below_retry = false;    ///< A call above this one is a retry.
   bool m_may_be_second = false;  ///< An earlier offer may have run.
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -18,9 +18,10 @@
 constexpr Duration kSettle = std::chrono::milliseconds(50);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
 
-/// `Retry-After` is spread over this many seconds, so that refused callers do
-/// not come back all at once.
-constexpr std::uint64_t kRetryAfterSpread = 4;
+/// `Retry-After` lies between the floor and this much above it, in
+/// milliseconds, so that refused callers do not come back all at once.
+constexpr std::uint64_t kRetryAfterFloor = 100;
+constexpr std::uint64_t kRetryAfterSpread = 400;
 
 std::string HexOf(std::uint64_t value) {
   std::ostringstream text;
@@ -48,6 +49,7 @@
                 {},
                 {},
                 {},
+                {},
                 shared.at_step},
       m_pause(kPauseGap, kSettle, Clock::now()) {
   std::seed_seq seed{boot_id, boot_id >> 32U};
@@ -77,8 +79,10 @@
     }
   };
   m_hooks.retry_after = [this] {
-    return static_cast<unsigned>(1 + m_context.random() % kRetryAfterSpread);
+    return std::chrono::milliseconds(kRetryAfterFloor +
+                                     m_context.random() % kRetryAfterSpread);
   };
+  m_hooks.limits = [this] { return LimitsInForce(); };
 }
 
 EntryWorker::~EntryWorker() {
@@ -142,9 +146,27 @@
       });
 }
 
+CallerLimits EntryWorker::LimitsInForce() const {
+  CallerLimits limits = m_shared.settings.caller;
+  const auto view = m_shared.store.Load();
+  if (view->config == nullptr) {
+    return limits;
+  }
+  const CallerBounds& bounds = view->config->callers;
+  limits.max_head_bytes = bounds.max_head_bytes.value_or(limits.max_head_bytes);
+  limits.max_body_bytes = bounds.max_body_bytes.value_or(limits.max_body_bytes);
+  if (bounds.head_timeout) {
+    limits.head_timeout = *bounds.head_timeout;
+  }
+  if (bounds.idle_timeout) {
+    limits.idle_timeout = *bounds.idle_timeout;
+  }
+  return limits;
+}
+
 void EntryWorker::AddCaller(tcp::socket socket) {
   auto connection = std::make_shared<CallerConnection>(
-      std::move(socket), m_shared.settings.caller, m_shared.budget,
+      std::move(socket), *m_shared.settings.dialect, m_shared.budget,
       m_shared.metrics, m_hooks);
   m_callers[connection.get()] = connection;
   const std::size_t open =
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -67,6 +67,7 @@
  private:
   void Accept();
   void AcceptBacklog();
+  CallerLimits LimitsInForce() const;
   void AddCaller(boost::asio::ip::tcp::socket socket);
   CallHandle RunCall(CallerRequest request,
                      std::function<void(CallerReply)> done);
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kTick = std::chrono::milliseconds(5);
 constexpr Duration kPauseGap = std::chrono::milliseconds(300);
 constexpr Duration kSettle = std::chrono::milliseconds(50);
+/// Time between two questions to the upstream's health page.
+constexpr Duration kHealthPeriod = std::chrono::milliseconds(500);
 
 /// Lives of peers' processes whose sequence windows are kept.
 constexpr std::size_t kMaxWindows = 8192;
@@ -36,15 +38,21 @@
       m_admission(AdmissionLimits{}),
       m_tick(io),
       m_pause(kPauseGap, kSettle, Clock::now()) {
-  if (!settings.upstream.empty()) {
+  if (settings.upstream_port != 0) {
     m_upstream = std::make_unique<UpstreamPool>(
         io,
         tcp::endpoint(asio::ip::make_address(settings.upstream_ip),
                       settings.upstream_port),
-        settings.upstream_limits, metrics);
+        settings.upstream_limits, *settings.dialect, metrics);
+    UpstreamWatchHooks hooks;
+    hooks.on_change = [this](bool draining) { OnDraining(draining); };
+    hooks.on_word = [this](const HealthWord& word,
+                           const std::optional<UpstreamLoad>& load) {
+      OnHealthWord(word, load);
+    };
     m_watch = std::make_unique<UpstreamWatch>(
-        io, m_upstream->endpoint(), settings.health_path,
-        [this](bool draining) { OnDraining(draining); });
+        io, m_upstream->endpoint(), settings.health_path, kHealthPeriod,
+        *settings.dialect, metrics, std::move(hooks));
   }
 }
 
@@ -62,6 +70,27 @@
   }
 }
 
+void ExitCalls::OnHealthWord(const HealthWord& word,
+                             const std::optional<UpstreamLoad>& /*load*/) {
+  if (!word.upstream.empty() && word.upstream != m_named) {
+    Log(LogLevel::kInfo, LogEvent::kUpstreamNamed,
+        {{"upstream", word.upstream}, {"before", m_named}});
+    m_named = word.upstream;
+  }
+}
+
+bool ExitCalls::IsMine(const std::string& upstream) const {
+  if (m_upstream == nullptr) {
+    return false;
+  }
+  if (!m_settings.upstreams_listed) {
+    return upstream == m_settings.upstream;
+  }
+  // Until the upstream has said its name, it judges by itself whether the
+  // request is meant for it.
+  return m_named.empty() || upstream == m_named;
+}
+
 ExitCalls::~ExitCalls() = default;
 
 void ExitCalls::CheckPause(TimePoint now) {
@@ -80,8 +109,7 @@
 
 std::optional<RefusalReason> ExitCalls::CheckOffer(const OfferMessage& offer,
                                                    TimePoint now) {
-  if (offer.version != kLinkVersion || m_upstream == nullptr ||
-      offer.upstream != m_settings.upstream) {
+  if (offer.version != kLinkVersion || !IsMine(offer.upstream)) {
     return RefusalReason::kWrongUpstream;
   }
   const auto origin = std::pair(offer.origin.vm, offer.origin.boot_id);
@@ -106,21 +134,41 @@
 
 void ExitCalls::RefreshLimits() {
   const auto view = m_store.Load();
-  if (view->config == nullptr || view->config == m_limits_from) {
+  if (view == m_limits_from || view->config == nullptr) {
     return;
   }
-  m_limits_from = view->config;
-  const auto upstream = view->config->upstreams.find(m_settings.upstream);
-  if (upstream == view->config->upstreams.end()) {
+  m_limits_from = view;
+  std::string service_name;
+  AdmissionLimits limits;
+  if (m_settings.upstreams_listed) {
+    m_listed_leaving = view->local && view->local->leaving;
+    if (!view->local) {
+      return;
+    }
+    service_name = view->local->service;
+    limits.slots = view->local->slots;
+    limits.short_slots = 0;
+  } else {
+    const auto upstream = view->config->upstreams.find(m_settings.upstream);
+    if (upstream == view->config->upstreams.end()) {
+      return;
+    }
+    service_name = upstream->second.service;
+    limits.slots = upstream->second.slots;
+    limits.short_slots = upstream->second.short_slots;
+  }
+  const auto service = view->config->services.find(service_name);
+  if (service == view->config->services.end()) {
     return;
   }
-  const Service& service = view->config->services.at(upstream->second.service);
-  AdmissionLimits limits;
-  limits.slots = upstream->second.slots;
-  limits.short_slots = upstream->second.short_slots;
-  limits.queue_length = service.queue_length;
-  limits.queue_limit = service.queue_limit;
+  limits.slots = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(m_settings.slot_share * limits.slots));
+  limits.queue_length = service->second.queue_length;
+  limits.queue_limit = service->second.queue_limit;
   m_admission.SetLimits(limits);
+  if (m_watch != nullptr && m_settings.health_path.empty()) {
+    m_watch->SetPath(service->second.health_path);
+  }
 }
 
 void ExitCalls::AtStep(CallStep step,
@@ -158,6 +206,7 @@
                         const StreamReply& reply,
                         std::uint64_t key) {
   const TimePoint now = Clock::now();
+  RefreshLimits();
   if (const auto reason = CheckOffer(offer, now)) {
     Log(LogLevel::kDebug, LogEvent::kOfferRefused,
         {{"call", offer.call_id}, {"reason", InfoOf(*reason).name}});
@@ -178,7 +227,6 @@
 }
 
 void ExitCalls::Admit(const CallPtr& call, TimePoint now) {
-  RefreshLimits();
   AdmissionRequest request;
   request.ticket = call->ticket;
   request.deadline = call->deadline;
@@ -219,13 +267,23 @@
   const auto left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                            call.deadline - Clock::now())
                            .count();
-  request.fields.push_back({std::string(kCallIdField), call.offer.call_id});
-  request.fields.push_back({std::string(kDeadlineField),
-                            std::to_string(std::max<long>(left_ms, 1))});
-  request.fields.push_back(
-      {std::string(kDepthField), std::to_string(call.offer.depth)});
-  if (call.offer.retry) {
-    request.fields.push_back({std::string(kRetryField), "1"});
+  const Dialect& dialect = *m_settings.dialect;
+  if (!dialect.caller_id_field.empty()) {
+    const std::string* id = FindField(request.fields, dialect.caller_id_field);
+    request.caller_id = id == nullptr ? "" : *id;
+  }
+  SetField(request.fields, dialect.deadline_field,
+           std::to_string(std::max<long>(left_ms, 1)));
+  if (!dialect.expected_upstream_field.empty()) {
+    SetField(request.fields, dialect.expected_upstream_field,
+             call.offer.upstream);
+  }
+  if (dialect.own_fields) {
+    SetField(request.fields, kCallIdField, call.offer.call_id);
+    SetField(request.fields, kDepthField, std::to_string(call.offer.depth));
+    if (call.offer.retry) {
+      SetField(request.fields, kRetryField, "1");
+    }
   }
   return request;
 }
@@ -258,10 +316,6 @@
   call->run = m_upstream->Run(BuildRequest(*call), std::move(hooks));
 }
 
-bool ExitCalls::IsShed(const HttpReply& reply) const {
-  return reply.status == 503 && FindField(reply.fields, kShedField) != nullptr;
-}
-
 void ExitCalls::OnRunDone(const CallPtr& call, UpstreamResult result) {
   AtStep(CallStep::kAnswered, call->offer.target,
          [this, call, result = std::move(result)] {
@@ -274,13 +328,9 @@
 void ExitCalls::FinishRun(const CallPtr& call, UpstreamResult result) {
   const TimePoint now = Clock::now();
   HttpReply* whole = std::get_if<HttpReply>(&result);
-  if (whole != nullptr && FindField(whole->fields, kLeavingField) != nullptr) {
+  if (whole != nullptr && m_settings.dialect->says_leaving(*whole)) {
     m_watch->OnSign();
   }
-  if (whole != nullptr && IsShed(*whole)) {
-    result = RefusalReason::kUpstreamShed;
-    whole = nullptr;
-  }
   const Duration service = now - call->started_at;
   const bool started = call->life.step() == CallStep::kStarted;
   if (whole == nullptr && IsPlanted(PlantedFault::kSlotLeak)) {
@@ -431,6 +481,7 @@
 void ExitCalls::OnTick() {
   const TimePoint now = Clock::now();
   CheckPause(now);
+  RefreshLimits();
   std::ranges::for_each(m_admission.Expire(now), [&](const ExpiredCall& item) {
     RefuseCall(m_calls.at(item.ticket), item.reason);
   });
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -65,7 +65,7 @@
 
   /// Whether new offers are refused, because the node is stopping or the
   /// upstream drains.
-  bool leaving() const { return m_stopping || Draining(); }
+  bool leaving() const { return m_stopping || Draining() || m_listed_leaving; }
 
   /// Whether no call is held.
   bool Drained() const { return m_calls.empty(); }
@@ -107,7 +107,9 @@
   UpstreamRequest BuildRequest(Call& call) const;
   bool Draining() const { return m_watch != nullptr && m_watch->draining(); }
   void OnDraining(bool draining);
-  bool IsShed(const HttpReply& reply) const;
+  bool IsMine(const std::string& upstream) const;
+  void OnHealthWord(const HealthWord& word,
+                    const std::optional<UpstreamLoad>& load);
 
   boost::asio::io_context& m_io;
   const NodeSettings& m_settings;
@@ -117,7 +119,9 @@
   const std::uint64_t m_boot_id;
   Admission m_admission;
   std::unique_ptr<UpstreamPool> m_upstream;
-  std::shared_ptr<const Configuration> m_limits_from;
+  std::shared_ptr<const FleetView> m_limits_from;
+  std::string m_named;  ///< What the upstream last called itself.
+  bool m_listed_leaving = false;
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_by_key;
   std::map<std::pair<std::string, std::uint64_t>, SequenceWindow> m_windows;
--- a/src/libyuccamast/node/fleet_view.cpp
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// A balance state belongs to one life of the node beside the upstream.
-std::string KeyOf(const Upstream& upstream,
+std::string KeyOf(const std::string& upstream,
                   const VmRecord& vm,
                   std::uint64_t epoch) {
-  return upstream.name + "@" + vm.id + "@" + vm.ip + ":" +
+  return upstream + "@" + vm.id + "@" + vm.ip + ":" +
          std::to_string(vm.inner_port) + "@" + std::to_string(epoch);
 }
 
@@ -80,13 +80,18 @@
 
 Candidate FleetStore::MakeCandidate(const std::string& key,
                                     const VmRecord& vm,
-                                    const Liveness& liveness) {
+                                    const Liveness& liveness,
+                                    const ListedUpstream* listed) {
   const bool first_view = Load()->services.empty();
   auto& state = m_states[key];
   if (state == nullptr) {
-    state = std::make_shared<UpstreamState>(Clock::now(), !first_view);
+    const bool cold = listed == nullptr
+                          ? !first_view
+                          : listed->cold > std::chrono::milliseconds::zero();
+    state = std::make_shared<UpstreamState>(Clock::now(), cold);
   }
-  state->SetLeaving(liveness.leaving || ListLeaving(vm, liveness.epoch));
+  state->SetLeaving(liveness.leaving || ListLeaving(vm, liveness.epoch) ||
+                    (listed != nullptr && listed->leaving));
   return {state, DistanceTo(vm)};
 }
 
@@ -104,12 +109,73 @@
   service = std::move(kept);
 }
 
+/// A view in the making.
+struct FleetStore::Building {
+  std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+  std::map<std::string, std::shared_ptr<UpstreamState>> used;
+  std::map<std::string, std::vector<bool>> gone;
+};
+
+void FleetStore::AddMember(Building& building,
+                           const std::string& service_name,
+                           const std::string& upstream,
+                           const VmRecord& vm,
+                           const ListedUpstream* listed) {
+  const auto service = building.view->services.find(service_name);
+  if (service == building.view->services.end()) {
+    return;  // The configuration in force does not know the service yet.
+  }
+  const Liveness liveness = LivenessOf(vm.id);
+  const std::string key = KeyOf(upstream, vm, liveness.epoch);
+  Candidate candidate = MakeCandidate(key, vm, liveness, listed);
+  building.used[key] = candidate.state;
+  service->second.candidates.push_back(std::move(candidate));
+  service->second.members.push_back(
+      {upstream, vm.id, {boost::asio::ip::make_address(vm.ip), vm.inner_port}});
+  building.gone[service_name].push_back(liveness.gone);
+}
+
+std::optional<LocalUpstream> FleetStore::FindLocal() const {
+  const auto previous = Load()->local;
+  const VmRecord* vm = FindVm(*m_vms, m_settings.vm);
+  if (vm != nullptr) {
+    const auto found = std::ranges::find(
+        vm->upstreams, m_settings.upstream_port, &ListedUpstream::port);
+    if (found != vm->upstreams.end()) {
+      return LocalUpstream{found->name, found->service, found->slots,
+                           found->leaving};
+    }
+  }
+  if (!previous) {
+    return std::nullopt;
+  }
+  LocalUpstream left = *previous;
+  left.leaving = true;
+  return left;
+}
+
+void FleetStore::LimitRetries(ServiceView& service) const {
+  const SharedRetryLimit& limit = m_settings.retry_limit;
+  if (limit.slack <= 0) {
+    return;
+  }
+  const auto nodes =
+      static_cast<double>(std::max<std::size_t>(m_vms->vms.size(), 1));
+  service.retries->SetCap(std::max(1.0, limit.slack / nodes));
+  service.service.retry_share =
+      std::min(service.service.retry_share, limit.share);
+}
+
 void FleetStore::Rebuild() {
-  auto view = std::make_shared<FleetView>();
-  view->config = m_config;
-  view->vms = m_vms;
+  Building building;
+  FleetView& view = *building.view;
+  view.config = m_config;
+  view.vms = m_vms;
+  if (m_vms != nullptr) {
+    view.local = FindLocal();
+  }
   if (m_config == nullptr || m_vms == nullptr) {
-    m_view.store(std::move(view), std::memory_order_release);
+    m_view.store(std::move(building.view), std::memory_order_release);
     return;
   }
   for (const auto& [name, service] : m_config->services) {
@@ -117,32 +183,24 @@
     if (retries == nullptr) {
       retries = std::make_shared<RetryBudget>();
     }
-    view->services[name] = {service, {}, {}, retries};
+    view.services[name] = {service, {}, {}, retries};
+    LimitRetries(view.services[name]);
   }
-  std::map<std::string, std::shared_ptr<UpstreamState>> used;
-  std::map<std::string, std::vector<bool>> gone;
   for (const auto& [name, upstream] : m_config->upstreams) {
-    const VmRecord* vm = FindVm(*m_vms, upstream.vm);
-    if (vm == nullptr) {
-      continue;
+    if (const VmRecord* vm = FindVm(*m_vms, upstream.vm)) {
+      AddMember(building, upstream.service, name, *vm, nullptr);
     }
-    const Liveness liveness = LivenessOf(vm->id);
-    const std::string key = KeyOf(upstream, *vm, liveness.epoch);
-    ServiceView& service = view->services[upstream.service];
-    Candidate candidate = MakeCandidate(key, *vm, liveness);
-    used[key] = candidate.state;
-    service.candidates.push_back(std::move(candidate));
-    service.members.push_back(
-        {name,
-         vm->id,
-         {boost::asio::ip::make_address(vm->ip), vm->inner_port}});
-    gone[upstream.service].push_back(liveness.gone);
-  }
-  for (auto& [name, service] : view->services) {
-    DropGone(service, gone[name]);
-  }
-  m_states = std::move(used);
-  m_view.store(std::move(view), std::memory_order_release);
+  }
+  std::ranges::for_each(m_vms->vms, [&](const VmRecord& vm) {
+    std::ranges::for_each(vm.upstreams, [&](const ListedUpstream& listed) {
+      AddMember(building, listed.service, listed.name, vm, &listed);
+    });
+  });
+  for (auto& [name, service] : view.services) {
+    DropGone(service, building.gone[name]);
+  }
+  m_states = std::move(building.used);
+  m_view.store(std::move(building.view), std::memory_order_release);
 }
 
 JsonValue FleetStore::BalanceToJson(TimePoint now) const {
--- a/src/libyuccamast/node/fleet_view.h
+++ b/src/libyuccamast/node/fleet_view.h
@@ -4,11 +4,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "node/settings.h"
-#include "platform/published.h"
+#include "source/published.h"
 #include "yuccamast/balance/policy.h"
 #include "yuccamast/balance/retry_budget.h"
 #include "yuccamast/config/configuration.h"
@@ -38,10 +39,19 @@
   std::shared_ptr<RetryBudget> retries;
 };
 
+/// The upstream beside this node, as the platform lists it.
+struct LocalUpstream {
+  std::string name;
+  std::string service;
+  std::uint32_t slots = 0;
+  bool leaving = false;  ///< By its own word, or since it left the list.
+};
+
 struct FleetView {
   std::shared_ptr<const Configuration> config;
   std::shared_ptr<const VmList> vms;
   std::map<std::string, ServiceView, std::less<>> services;
+  std::optional<LocalUpstream> local;  ///< Set where upstreams are listed.
 };
 
 /// What membership says about the node of a VM.
@@ -79,9 +89,18 @@
 
  private:
   void Rebuild();
+  struct Building;
+  void AddMember(Building& building,
+                 const std::string& service,
+                 const std::string& upstream,
+                 const VmRecord& vm,
+                 const ListedUpstream* listed);
+  std::optional<LocalUpstream> FindLocal() const;
+  void LimitRetries(ServiceView& service) const;
   Candidate MakeCandidate(const std::string& key,
                           const VmRecord& vm,
-                          const Liveness& liveness);
+                          const Liveness& liveness,
+                          const ListedUpstream* listed);
   Liveness LivenessOf(const std::string& vm) const;
   bool ListLeaving(const VmRecord& vm, std::uint64_t epoch);
   static void DropGone(ServiceView& service, const std::vector<bool>& gone);
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -34,7 +34,11 @@
       m_exit_io(1),
       m_signals(m_control_io),
       m_stop_timer(m_control_io),
-      m_plane(m_control_io, m_settings, m_store, m_metrics) {}
+      m_plane(m_control_io,
+              m_settings,
+              m_store,
+              m_metrics,
+              m_hooks.open_source) {}
 
 Node::~Node() = default;
 
@@ -42,7 +46,9 @@
   StartFaces();
   m_plane.Start();
   m_control = std::make_unique<ControlServer>(
-      m_settings.ip, m_settings.control_port,
+      m_settings.ip,
+      std::vector<std::uint16_t>{m_settings.control_port,
+                                 m_settings.ready_port},
       [this](const std::string& path) { return OnControl(path); });
   ArmSignals();
   Log(LogLevel::kInfo, LogEvent::kNodeStarted,
@@ -216,8 +222,9 @@
   if (path == "/metrics") {
     return {200, "text/plain; version=0.0.4", m_metrics.ToText()};
   }
-  if (path == "/health") {
-    const bool ready = m_store.Load()->config != nullptr;
+  if (path == "/health" || path == m_settings.ready_path) {
+    const auto view = m_store.Load();
+    const bool ready = view->config != nullptr && view->vms != nullptr;
     const bool serving = m_phase == StopPhase::kServing;
     return {ready && serving ? 200U : 503U, "text/plain",
             !ready ? "no configuration\n" : (serving ? "ok\n" : "leaving\n")};
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -8,12 +8,12 @@
 #include <thread>
 #include <vector>
 
+#include "admin/control_server.h"
 #include "node/control_plane.h"
 #include "node/entry_worker.h"
 #include "node/exit_face.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
-#include "platform/control_server.h"
 
 /// \file node.h
 /// One node: both faces, the control thread and the operators' address.
@@ -29,6 +29,8 @@
   StepHook at_step;
   /// Answers further pages of the control address; nothing means unknown.
   std::function<std::optional<ControlReply>(const std::string& path)> page;
+  /// Where the facts come from; by default the project's own service.
+  SourceFactory open_source = OpenOwnService;
 };
 
 /// Runs from `Run` until a planned stop is over.
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "http/host_port.h"
+
 namespace yuccamast {
 
 namespace {
@@ -13,6 +15,7 @@
 constexpr IntRange kCountRange{1, 1'000'000};
 constexpr IntRange kMillisRange{1, 3'600'000};
 constexpr IntRange kMicrosRange{0, 10'000'000};
+constexpr double kLeastSlotShare = 0.1;
 
 std::uint16_t ReadPort(ObjectReader& reader, std::string_view key) {
   return static_cast<std::uint16_t>(reader.Int(key, kPortRange, std::nullopt));
@@ -30,6 +33,17 @@
   return text;
 }
 
+/// An address as `ip:port`; port 0 if the key is absent or its text empty.
+boost::asio::ip::tcp::endpoint ReadAddress(ObjectReader& reader,
+                                           std::string_view key) {
+  const std::string text = reader.String(key, "");
+  const auto endpoint = ParseHostPort(text);
+  if (!endpoint && !text.empty()) {
+    reader.Report(key, FieldFault::kOutOfRange);
+  }
+  return endpoint.value_or(boost::asio::ip::tcp::endpoint());
+}
+
 std::size_t ReadSize(ObjectReader& reader,
                      std::string_view key,
                      std::size_t otherwise) {
@@ -69,9 +83,16 @@
 }
 
 void ReadUpstream(ObjectReader& reader, NodeSettings& settings) {
-  settings.upstream = reader.String("name", std::nullopt);
-  settings.upstream_ip = ReadIp(reader, "ip", settings.ip);
-  settings.upstream_port = ReadPort(reader, "port");
+  settings.upstreams_listed = reader.Bool("listed", false);
+  if (settings.upstreams_listed) {
+    const auto address = ReadAddress(reader, "address");
+    settings.upstream_ip = address.address().to_string();
+    settings.upstream_port = address.port();
+  } else {
+    settings.upstream = reader.String("name", std::nullopt);
+    settings.upstream_ip = ReadIp(reader, "ip", settings.ip);
+    settings.upstream_port = ReadPort(reader, "port");
+  }
   settings.health_path = reader.String("health_path", "");
   UpstreamLimits& limits = settings.upstream_limits;
   limits.max_connections = static_cast<std::size_t>(
@@ -148,7 +169,9 @@
     table.other_region =
         ReadMicros(group, "other_region_us", table.other_region);
   });
-  if (reader.Get("platform") == nullptr) {
+  if (const JsonValue* adapter = reader.Get("adapter")) {
+    settings.adapter = *adapter;
+  } else if (reader.Get("platform") == nullptr) {
     reader.Report("platform", FieldFault::kMissing);
   }
   ReadGroup(reader, "platform", errors,
@@ -171,7 +194,14 @@
   settings.ip = ReadIp(reader, "ip", std::nullopt);
   settings.data_centre = reader.String("data_centre", std::nullopt);
   settings.region = reader.String("region", "");
-  settings.caller_port = ReadPort(reader, "caller_port");
+  const std::uint16_t callers = ReadAddress(reader, "caller_address").port();
+  settings.caller_port =
+      callers != 0 ? callers : ReadPort(reader, "caller_port");
+  settings.ready_port = ReadAddress(reader, "ready_address").port();
+  settings.ready_path = reader.String("ready_path", "/health");
+  settings.service = reader.String("service", "");
+  settings.slot_share =
+      reader.Double("slot_share", kLeastSlotShare, 1.0, settings.slot_share);
   settings.inner_port = ReadPort(reader, "inner_port");
   settings.advertised_port = static_cast<std::uint16_t>(
       reader.Int("advertised_port", kPortRange, settings.inner_port));
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "http/caller_connection.h"
+#include "http/dialect.h"
 #include "http/upstream_pool.h"
 #include "json/object_reader.h"
 #include "link/session.h"
@@ -36,6 +37,13 @@
   Duration other_region = std::chrono::milliseconds(60);
 };
 
+/// Bound on second sends that all nodes keep together. Each node takes its
+/// part of `slack` by the number of nodes it knows.
+struct SharedRetryLimit {
+  double slack = 0;  ///< Second sends allowed at any time; 0: no such bound.
+  double share = 0;  ///< Further ones for each first send.
+};
+
 struct NodeSettings {
   std::string vm;
   std::string ip;
@@ -45,7 +53,13 @@
   std::uint16_t inner_port = 0;
   std::uint16_t advertised_port = 0;  ///< Inner port as peers reach it.
   std::uint16_t control_port = 0;
+  std::uint16_t ready_port = 0;  ///< Answers `ready_path`; 0: not served.
+  std::string ready_path;
+  std::string service;   ///< Of the VM; what its callers count as.
   std::string upstream;  ///< Name in the configuration; empty if none.
+  /// Whether the platform lists upstreams itself: the one beside this node is
+  /// then the one listed at its address, whatever its name.
+  bool upstreams_listed = false;
   std::string upstream_ip;
   std::uint16_t upstream_port = 0;
   std::string health_path;  ///< Of the upstream; empty: it is not asked.
@@ -61,6 +75,14 @@
   LinkOptions link;
   StopLimits stop;
   DistanceTable distance;
+  SharedRetryLimit retry_limit;
+  /// Share of an upstream's slots that the exit uses; servers slow down when
+  /// they are nearly full.
+  double slot_share = 1.0;
+  /// Settings of a platform's adapter, as they stand in the file.
+  JsonValue adapter;
+  /// Not in the file: how callers and upstreams speak. Never null.
+  const Dialect* dialect = &OwnDialect();
 };
 
 /// Why settings are refused: a JSON error or a list of fields.
--- a/src/libyuccamast/node/settings_test.cpp
+++ b/src/libyuccamast/node/settings_test.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "platform/published.h"
+#include "source/published.h"
 
 using namespace yuccamast;  // NOLINT
 
--- a/src/libyuccamast/platform/http_fetch.cpp
+++ b/src/libyuccamast/source/http_fetch.cpp
@@ -1,5 +1,5 @@
 // Compiled as C++17, see json_value.cpp.
-#include "platform/http_fetch.h"
+#include "source/http_fetch.h"
 
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
--- /dev/null
+++ b/src/libyuccamast/source/list_doubt.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "source/published.h"
+#include "yuccamast/clock.h"
+
+/// \file list_doubt.h
+/// Doubts that upstreams which vanish from the list around an outage are gone.
+///
+/// Entries of a list expire while their writers cannot reach the service that
+/// holds it. When the service returns, living upstreams are listed again
+/// within a moment; until then the list says less than the node knew before.
+/// While in doubt, the list in use is the new one with the entries that only
+/// the last list before the outage had. When the moment is over, what is still
+/// missing is gone.
+
+namespace yuccamast {
+
+/// Not thread-safe.
+class ListDoubt {
+ public:
+  /// `settle` is the time after a return within which entries come back.
+  explicit ListDoubt(Duration settle) : m_settle(settle) {}
+
+  /// The service was lost; `held` is the list in use then.
+  void OnLost(std::shared_ptr<const VmList> held);
+
+  /// The service answers again.
+  void OnRegained(TimePoint now);
+
+  /// The list to use instead of `fresh`, which the service, or a peer, gave.
+  std::shared_ptr<const VmList> Apply(
+      std::shared_ptr<const VmList> fresh) const;
+
+  /// Whether the doubt ended since the last call; the owner then applies the
+  /// list again.
+  bool TakeEnd(TimePoint now);
+
+  bool in_doubt() const { return m_held != nullptr; }
+
+ private:
+  const Duration m_settle;
+  std::shared_ptr<const VmList> m_held;
+  std::optional<TimePoint> m_regained_at;
+};
+
+}  // namespace yuccamast
--- a/src/libyuccamast/platform/published.cpp
+++ b/src/libyuccamast/source/published.cpp
@@ -1,4 +1,4 @@
-#include "platform/published.h"
+#include "source/published.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -20,6 +20,25 @@
   return std::nullopt;
 }
 
+constexpr IntRange kSlotRange{1, 1'000'000};
+constexpr IntRange kColdRangeMs{0, 3'600'000};
+
+ListedUpstream ReadListedUpstream(const JsonValue& value,
+                                  std::vector<FieldError>* errors) {
+  ObjectReader reader(value, "vms.upstreams.", errors);
+  ListedUpstream upstream;
+  upstream.name = reader.String("name", std::nullopt);
+  upstream.service = reader.String("service", std::nullopt);
+  upstream.port =
+      static_cast<std::uint16_t>(reader.Int("port", kPortRange, std::nullopt));
+  upstream.slots =
+      static_cast<std::uint32_t>(reader.Int("slots", kSlotRange, std::nullopt));
+  upstream.leaving = reader.Name<bool>("state", LeavingFromName, false);
+  upstream.cold = reader.Millis("cold_ms", kColdRangeMs, 0);
+  reader.Finish();
+  return upstream;
+}
+
 VmRecord ReadVm(const JsonValue& value,
                 const std::string& prefix,
                 std::vector<FieldError>* errors) {
@@ -32,6 +51,17 @@
   vm.data_centre = reader.String("data_centre", std::nullopt);
   vm.region = reader.String("region", "");
   vm.leaving = reader.Name<bool>("state", LeavingFromName, false);
+  if (const JsonValue* upstreams = reader.Get("upstreams")) {
+    const JsonValue::Array* array = upstreams->AsArray();
+    if (array == nullptr) {
+      reader.Report("upstreams", FieldFault::kWrongType);
+    } else {
+      std::ranges::transform(*array, std::back_inserter(vm.upstreams),
+                             [&](const JsonValue& item) {
+                               return ReadListedUpstream(item, errors);
+                             });
+    }
+  }
   reader.Finish();
   boost::system::error_code bad;
   boost::asio::ip::make_address(vm.ip, bad);
@@ -120,13 +150,28 @@
 std::string WriteVmList(const VmList& list) {
   JsonValue::Array vms;
   std::ranges::for_each(list.vms, [&](const VmRecord& vm) {
-    vms.push_back(
-        JsonValue::Object{{"id", vm.id},
+    JsonValue::Object row{{"id", vm.id},
                           {"ip", vm.ip},
                           {"inner_port", static_cast<int>(vm.inner_port)},
                           {"data_centre", vm.data_centre},
                           {"region", vm.region},
-                          {"state", vm.leaving ? "leaving" : "live"}});
+                          {"state", vm.leaving ? "leaving" : "live"}};
+    if (!vm.upstreams.empty()) {
+      JsonValue::Array upstreams;
+      std::ranges::transform(
+          vm.upstreams, std::back_inserter(upstreams),
+          [](const ListedUpstream& upstream) {
+            return JsonValue::Object{
+                {"name", upstream.name},
+                {"service", upstream.service},
+                {"port", static_cast<int>(upstream.port)},
+                {"slots", upstream.slots},
+                {"state", upstream.leaving ? "leaving" : "live"},
+                {"cold_ms", std::int64_t{upstream.cold.count()}}};
+          });
+      row.push_back({"upstreams", std::move(upstreams)});
+    }
+    vms.push_back(std::move(row));
   });
   return WriteJson(
       JsonValue::Object{{"revision", list.revision}, {"vms", std::move(vms)}});
--- a/src/libyuccamast/platform/published.h
+++ b/src/libyuccamast/source/published.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,6 +19,11 @@
 /// the VM list `{"revision": 3, "vms": [{"id": "vm-1", "ip": "10.0.0.1",
 /// "inner_port": 8081, "data_centre": "dc1", "region": "mn-central",
 /// "state": "live"}]}`. A list in which any VM is malformed is refused whole.
+///
+/// A platform that registers upstreams by itself, instead of naming them in the
+/// configuration, lists them with the VM they run on: `"upstreams": [{"name":
+/// "i-7", "service": "ledger", "port": 8080, "slots": 9, "state": "live",
+/// "cold_ms": 0}]`. A name stands for one life of an upstream.
 
 namespace yuccamast {
 
@@ -27,6 +33,22 @@
   std::vector<ConfigFile> files;
 };
 
+/// One upstream as the platform registered it.
+struct ListedUpstream {
+  std::string name;  ///< Of this life of it; another life has another name.
+  std::string service;
+  std::uint16_t port = 0;  ///< On its VM.
+  std::uint32_t slots = 0;
+  bool leaving = false;
+  std::chrono::milliseconds cold{0};  ///< Slow for this long from now.
+
+  /// Whether it is the same life at the same place; ignores what passes.
+  bool IsSame(const ListedUpstream& other) const {
+    return name == other.name && port == other.port;
+  }
+  bool operator==(const ListedUpstream&) const = default;
+};
+
 /// One VM of the platform's list.
 struct VmRecord {
   std::string id;
@@ -35,6 +57,7 @@
   std::string data_centre;
   std::string region;
   bool leaving = false;
+  std::vector<ListedUpstream> upstreams;
 
   bool operator==(const VmRecord&) const = default;
 };
--- a/src/libyuccamast/platform/watcher.cpp
+++ b/src/libyuccamast/source/watcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/watcher.h"
+#include "source/watcher.h"
 
 #include <chrono>
 #include <mutex>
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "log/log.h"
-#include "platform/http_fetch.h"
+#include "source/http_fetch.h"
 
 namespace yuccamast {
 
@@ -23,7 +23,7 @@
 }  // namespace
 
 struct PlatformWatcher::Shared {
-  Shared(const NodeSettings& settings, Metrics& m, WatcherHooks h)
+  Shared(const NodeSettings& settings, Metrics& m, SourceHooks h)
       : config_address(settings.config_service),
         vm_address(settings.vm_list),
         metrics(m),
@@ -34,7 +34,7 @@
   std::mutex mutex;  ///< Guards `stopped` against a hook that is running.
   bool stopped = false;
   Metrics& metrics;
-  WatcherHooks hooks;
+  SourceHooks hooks;
   std::atomic<bool> config_ok{false};
   std::atomic<bool> vms_ok{false};
 
@@ -165,7 +165,7 @@
 
 PlatformWatcher::PlatformWatcher(const NodeSettings& settings,
                                  Metrics& metrics,
-                                 WatcherHooks hooks)
+                                 SourceHooks hooks)
     : m_shared(std::make_shared<Shared>(settings, metrics, std::move(hooks))) {
   std::thread([shared = m_shared] { WatcherLoops::Config(shared); }).detach();
   std::thread([shared = m_shared] { WatcherLoops::Vms(shared); }).detach();
@@ -176,6 +176,23 @@
   m_shared->stopped = true;
 }
 
+FleetSource OpenOwnService(boost::asio::io_context& /*io*/,
+                           const NodeSettings& settings,
+                           Metrics& metrics,
+                           SourceHooks hooks) {
+  const auto watcher = std::make_shared<std::unique_ptr<PlatformWatcher>>(
+      std::make_unique<PlatformWatcher>(settings, metrics, std::move(hooks)));
+  FleetSource source;
+  source.close = [watcher] { watcher->reset(); };
+  source.config_reachable = [watcher] {
+    return *watcher != nullptr && (*watcher)->config_reachable();
+  };
+  source.vm_list_reachable = [watcher] {
+    return *watcher != nullptr && (*watcher)->vm_list_reachable();
+  };
+  return source;
+}
+
 bool PlatformWatcher::config_reachable() const {
   return m_shared->config_ok;
 }
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <sstream>
 
-#include "platform/published.h"
+#include "source/published.h"
 #include "standin/options.h"
 
 namespace yuccamast::standin {
--- a/testsuite/support/local_fleet.cpp
+++ b/testsuite/support/local_fleet.cpp
@@ -15,7 +15,7 @@
 #include <sstream>
 #include <thread>
 
-#include "platform/published.h"
+#include "source/published.h"
 
 namespace yuccamast::testing {
 
