Keep a queued call alive while it is refused

Cause: ExitCalls::OnTick passed the map's own pointer to RefuseCall, whose Discard erases that entry and then reads through the pointer; fault matrix and tests never let a queued call expire twice in a row on a busy heap. Change: Discard takes its call by value.

--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -374,7 +374,7 @@
   m_admission.Release(call->ticket, service);
 }
 
-void ExitCalls::Discard(const CallPtr& call) {
+void ExitCalls::Discard(CallPtr call) {
   call->deadline_timer.cancel();
   call->life.MoveTo(CallStep::kFinished);
   m_by_key.erase(call->key);
@@ -483,7 +483,8 @@
   CheckPause(now);
   RefreshLimits();
   std::ranges::for_each(m_admission.Expire(now), [&](const ExpiredCall& item) {
-    RefuseCall(m_calls.at(item.ticket), item.reason);
+    const CallPtr call = m_calls.at(item.ticket);
+    RefuseCall(call, item.reason);
   });
   StartQueued();
   ArmTick();
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -98,7 +98,8 @@
   void StartQueued();
   void AnswerRefusal(const StreamReply& reply, RefusalReason reason) const;
   void RefuseCall(const CallPtr& call, RefusalReason reason);
-  void Discard(const CallPtr& call);
+  /// By value: the argument may be the very entry that is erased.
+  void Discard(CallPtr call);
   void ReleaseSlot(const CallPtr& call, bool counts);
   void ArmTick();
   void OnTick();
