--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -16,6 +16,7 @@
 constexpr IntRange kMillisRange{1, 3'600'000};
 constexpr IntRange kMicrosRange{0, 10'000'000};
 constexpr double kLeastSlotShare = 0.1;
+constexpr IntRange kRecordRange{1, 32};
 
 std::uint16_t ReadPort(ObjectReader& reader, std::string_view key) {
   return static_cast<std::uint16_t>(reader.Int(key, kPortRange, std::nullopt));
@@ -138,6 +139,15 @@
   link.dead_after = ReadMillis(reader, "dead_after_ms", link.dead_after);
 }
 
+void ReadMembership(ObjectReader& reader, MembershipOptions& options) {
+  options.probe_period =
+      ReadMillis(reader, "probe_period_ms", options.probe_period);
+  options.suspicion = ReadMillis(reader, "suspicion_ms", options.suspicion);
+  options.records_per_message = static_cast<std::size_t>(
+      reader.Int("records_per_message", kRecordRange,
+                 static_cast<std::int64_t>(options.records_per_message)));
+}
+
 void ReadPlatform(ObjectReader& reader, NodeSettings& settings) {
   settings.config_service.ip = ReadIp(reader, "config_ip", std::nullopt);
   settings.config_service.port = ReadPort(reader, "config_port");
@@ -169,6 +179,9 @@
     table.other_region =
         ReadMicros(group, "other_region_us", table.other_region);
   });
+  ReadGroup(reader, "membership", errors, [&](ObjectReader& group) {
+    ReadMembership(group, settings.membership);
+  });
   if (const JsonValue* adapter = reader.Get("adapter")) {
     settings.adapter = *adapter;
   } else if (reader.Get("platform") == nullptr) {
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -11,6 +11,7 @@
 #include "json/object_reader.h"
 #include "link/session.h"
 #include "log/log.h"
+#include "yuccamast/membership/membership.h"
 #include "yuccamast/result.h"
 
 /// \file settings.h
@@ -75,6 +76,7 @@
   LinkOptions link;
   StopLimits stop;
   DistanceTable distance;
+  MembershipOptions membership;
   SharedRetryLimit retry_limit;
   /// Share of an upstream's slots that the exit uses; servers slow down when
   /// they are nearly full.
