Ask exits before the choice, and serve calls in time before late ones

Change: an entry asks up to four exits by datagram just before it chooses, the exit answers with its wait, work time and its machine's slowness; admission ranks calls by whether they can still meet their objective, then nested, urgency, objective, lets few late ones wait and gives their place to calls in time.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -16,9 +16,19 @@
 ///
 /// The exit is the only way to its upstream, so its counts are exact. A call
 /// either starts, waits in a short queue, or is refused at once with proof
-/// that it was not run. The queue serves non-idempotent calls before others
-/// and the nearest deadline first; every fourth start goes to the oldest
-/// waiting call, so nothing starves. Some slots are kept from long calls.
+/// that it was not run. Some slots are kept from long calls.
+///
+/// A call may have an objective: the time by which its answer is worth most.
+/// A call that cannot meet its objective any more is late. When slots are
+/// short, a late call is hardly worth its slot, so calls that can be in time
+/// always go first, few late ones may wait, and a late one makes room for one
+/// in time. Otherwise a queue that is longer than the objective would make
+/// every call late while the upstream is as busy as ever.
+///
+/// Among calls in time: nested calls first, since an upstream's slot is held
+/// for them already; then the more urgent; then non-idempotent ones; then the
+/// nearest objective. Calls without an objective are in time until their
+/// deadline; of those, every fourth start goes to the oldest, so none starves.
 ///
 /// The class holds no timers and does no I/O; the owner calls `Expire`.
 
@@ -32,6 +42,7 @@
   std::uint32_t short_slots = 3;
   std::uint32_t queue_length = 20;
   Duration queue_limit = std::chrono::milliseconds(100);
+  std::uint32_t late_length = 4;  ///< Late calls that may wait.
 };
 
 /// What the exit knows of an offered call.
@@ -40,6 +51,10 @@
   TimePoint deadline;
   WeightClass weight = WeightClass::kShort;
   bool idempotent = false;
+  TimePoint objective{};      ///< Never is: none.
+  std::uint32_t urgency = 0;  ///< 0 is served first.
+  bool nested = false;        ///< Made by a call that holds a slot.
+  Duration expected{};        ///< Service time, as far as known.
 };
 
 enum class AdmissionVerdict : std::uint8_t { kStart, kQueued, kRefused };
@@ -47,6 +62,8 @@
 struct AdmissionDecision {
   AdmissionVerdict verdict = AdmissionVerdict::kRefused;
   RefusalReason reason = RefusalReason::kQueueFull;  ///< If refused.
+  /// A queued call that lost its place to this one; the owner refuses it.
+  std::optional<CallTicket> displaced;
 };
 
 /// A queued call that is given up.
@@ -73,7 +90,8 @@
   /// The next queued call that may start now; it then holds a slot.
   std::optional<CallTicket> StartNext(TimePoint now);
 
-  /// Takes out every queued call whose deadline or queue limit has passed.
+  /// Takes out every queued call whose deadline has passed, and every one that
+  /// is late, or has no objective, and has waited for the queue limit.
   std::vector<ExpiredCall> Expire(TimePoint now);
 
   /// Takes out every queued call, for a stop or after a pause.
@@ -93,6 +111,9 @@
   /// Moving average of the service time of short calls; zero if unknown.
   Duration short_service() const { return m_short_service; }
 
+  /// How long an ordinary call offered now would wait for a slot.
+  Duration ExpectedWait() const;
+
   /// Age of the short call that has run longest; zero if none runs.
   Duration OldestShort(TimePoint now) const;
 
@@ -105,10 +126,12 @@
     WeightClass weight = WeightClass::kShort;
     TimePoint since;
   };
-  /// Non-idempotent before idempotent, then the nearest deadline.
+  /// The order among calls in time; see the file comment.
   struct QueueKey {
+    bool not_nested = true;
+    std::uint32_t urgency = 0;
     bool idempotent = false;
-    TimePoint deadline;
+    TimePoint due;  ///< The objective, or the deadline without one.
     CallTicket ticket = 0;
     auto operator<=>(const QueueKey&) const = default;
   };
@@ -116,8 +139,22 @@
 
   bool HasSlot(WeightClass weight) const;
   void Occupy(const AdmissionRequest& request, TimePoint now);
-  bool CanMeetDeadline(const AdmissionRequest& request, TimePoint now) const;
-  Queue::iterator PickNext();
+  static QueueKey KeyOf(const AdmissionRequest& request);
+  Duration WaitBehind(std::size_t ahead) const;
+  Duration ExpectedService(const AdmissionRequest& request) const;
+  bool CanMeetDeadline(const AdmissionRequest& request,
+                       Duration wait,
+                       TimePoint now) const;
+  bool IsLate(const AdmissionRequest& request,
+              Duration wait,
+              TimePoint now) const;
+  std::size_t CountAhead(const QueueKey& key, TimePoint now) const;
+  std::size_t CountLate(TimePoint now) const;
+  std::optional<CallTicket> FindDisplaceable(const QueueKey& key,
+                                             TimePoint now) const;
+  AdmissionDecision Enqueue(const AdmissionRequest& request, TimePoint now);
+  Queue::iterator PickNext(TimePoint now);
+  Queue::iterator PickOldest();
 
   AdmissionLimits m_limits;
   Queue m_queue;
--- a/include/yuccamast/balance/load_report.h
+++ b/include/yuccamast/balance/load_report.h
@@ -4,7 +4,8 @@
 #include <msgpack.hpp>
 
 /// \file load_report.h
-/// What an exit says about the upstream beside it, on every answer.
+/// What an exit says about the upstream beside it, on every answer and when it
+/// is asked.
 ///
 /// The counts are exact at the moment of sending. They are stale on arrival by
 /// one way of the network, and older still when they are used; `UpstreamState`
@@ -20,6 +21,9 @@
   std::uint32_t service_us = 0;       ///< Moving average of a short run.
   std::uint32_t oldest_short_us = 0;  ///< Age of the oldest short run.
   bool leaving = false;
+  std::uint32_t wait_us = 0;     ///< What a new call would wait for a slot.
+  std::uint32_t slowness = 100;  ///< Time that work takes now, in percent of
+                                 ///< the usual, as the upstream says.
 
   MSGPACK_DEFINE(boot_id,
                  running,
@@ -27,7 +31,9 @@
                  limit,
                  service_us,
                  oldest_short_us,
-                 leaving)
+                 leaving,
+                 wait_us,
+                 slowness)
 };
 
 }  // namespace yuccamast
--- a/include/yuccamast/balance/policy.h
+++ b/include/yuccamast/balance/policy.h
@@ -40,7 +40,7 @@
 };
 
 /// Number of candidates that a sampling policy compares.
-inline constexpr std::size_t kSampleSize = 3;
+inline constexpr std::size_t kSampleSize = 4;
 
 /// Index of the chosen candidate, or nothing if every candidate is leaving or
 /// in `excluded` (indices already tried by this call). Thread-safe if `random`
--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -24,6 +24,14 @@
   Duration failure_penalty = std::chrono::milliseconds(500);
   Duration failure_half_life = std::chrono::seconds(2);
   Duration cold_start = std::chrono::seconds(3);
+  /// A report younger than this is taken at its word.
+  Duration fresh_report = std::chrono::milliseconds(20);
+  /// What an exit that did not answer a question costs more.
+  Duration silence_penalty = std::chrono::milliseconds(400);
+  /// How long a machine stays as slow as its upstream says.
+  Duration slowness_lasts = std::chrono::milliseconds(150);
+  /// Usual service time of the call, if known; zero: the upstream's average.
+  Duration work{};
 };
 
 /// How an attempt ended, for the balance state.
@@ -47,6 +55,12 @@
              const EstimateOptions& options);
   void OnReport(const LoadReport& report, TimePoint now);
 
+  /// A question was sent to the exit; a report that follows answers it.
+  void OnAsked() { m_unanswered.fetch_add(1, kRelaxed); }
+
+  /// Whether several questions in a row had no answer.
+  bool silent() const { return m_unanswered.load(kRelaxed) > kSilentAfter; }
+
   /// The time a new call would take here, waiting and running, as estimated.
   /// `prior_others` is the mean number of calls of other nodes in flight at an
   /// upstream of the service.
@@ -76,6 +90,12 @@
 
  private:
   static constexpr auto kRelaxed = std::memory_order_relaxed;
+  /// Questions without an answer after which an exit counts as silent; a few
+  /// may be on their way.
+  static constexpr std::uint32_t kSilentAfter = 4;
+
+  Duration FreshCost(const EstimateOptions& options) const;
+  Duration WorkTime(const EstimateOptions& options) const;
 
   Duration ServiceTime(TimePoint now, const EstimateOptions& options) const;
   double InFlight(TimePoint now,
@@ -95,6 +115,10 @@
   std::atomic<std::int64_t> m_progress_at{0};  ///< Last answer or first send.
   std::atomic<double> m_failures{0};
   std::atomic<std::int64_t> m_failed_at{0};
+  std::atomic<std::uint32_t> m_wait_us{0};
+  std::atomic<std::uint32_t> m_slowness{100};
+  std::atomic<std::uint32_t> m_sent_since_report{0};
+  std::atomic<std::uint32_t> m_unanswered{0};
   std::atomic<bool> m_leaving{false};
   std::atomic<std::int64_t> m_reported_leaving_at{0};  ///< 0 is never.
 };
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -1,6 +1,7 @@
 #include "yuccamast/admission/admission.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace yuccamast {
 
@@ -27,29 +28,107 @@
   m_running_long += request.weight == WeightClass::kLong ? 1 : 0;
 }
 
+Admission::QueueKey Admission::KeyOf(const AdmissionRequest& request) {
+  const bool aims = request.objective != TimePoint{};
+  return {!request.nested, request.urgency, request.idempotent,
+          aims ? request.objective : request.deadline, request.ticket};
+}
+
+Duration Admission::ExpectedService(const AdmissionRequest& request) const {
+  return request.expected > Duration::zero() ? request.expected
+                                             : m_short_service;
+}
+
+Duration Admission::WaitBehind(std::size_t ahead) const {
+  return m_short_service * static_cast<std::int64_t>(ahead + 1) /
+         static_cast<std::int64_t>(std::max(m_limits.slots, 1U));
+}
+
+Duration Admission::ExpectedWait() const {
+  const bool room = running() < m_limits.slots && m_queue.empty();
+  return room ? Duration::zero() : WaitBehind(m_queue.size());
+}
+
 bool Admission::CanMeetDeadline(const AdmissionRequest& request,
+                                Duration wait,
                                 TimePoint now) const {
-  const auto waves = static_cast<std::int64_t>(queued() / m_limits.slots);
-  return now + (waves + 1) * m_short_service < request.deadline;
+  return now + wait + ExpectedService(request) < request.deadline;
+}
+
+bool Admission::IsLate(const AdmissionRequest& request,
+                       Duration wait,
+                       TimePoint now) const {
+  return request.objective != TimePoint{} &&
+         now + wait + ExpectedService(request) > request.objective;
+}
+
+std::size_t Admission::CountAhead(const QueueKey& key, TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_queue, [&](const auto& item) {
+        return item.first < key &&
+               !IsLate(item.second.request, Duration::zero(), now);
+      }));
+}
+
+std::size_t Admission::CountLate(TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_queue, [&](const auto& item) {
+        return IsLate(item.second.request, Duration::zero(), now);
+      }));
+}
+
+std::optional<CallTicket> Admission::FindDisplaceable(const QueueKey& key,
+                                                      TimePoint now) const {
+  const auto late = std::ranges::find_if(m_queue, [&](const auto& item) {
+    return IsLate(item.second.request, Duration::zero(), now);
+  });
+  if (late != m_queue.end()) {
+    return late->first.ticket;
+  }
+  // Calls of one rank keep their places; a lower rank gives way.
+  const QueueKey& last = std::prev(m_queue.end())->first;
+  const bool outranks = std::tie(key.not_nested, key.urgency) <
+                        std::tie(last.not_nested, last.urgency);
+  return outranks ? std::optional(last.ticket) : std::nullopt;
+}
+
+AdmissionDecision Admission::Enqueue(const AdmissionRequest& request,
+                                     TimePoint now) {
+  const QueueKey key = KeyOf(request);
+  const Duration wait = WaitBehind(CountAhead(key, now));
+  const bool late = IsLate(request, wait, now);
+  const Duration whole_wait = late ? WaitBehind(m_queue.size()) : wait;
+  const AdmissionDecision refused{AdmissionVerdict::kRefused,
+                                  RefusalReason::kQueueFull, std::nullopt};
+  if (!CanMeetDeadline(request, whole_wait, now) ||
+      (late && CountLate(now) >= m_limits.late_length)) {
+    return refused;
+  }
+  AdmissionDecision decision{AdmissionVerdict::kQueued, {}, std::nullopt};
+  if (queued() >= m_limits.queue_length) {
+    decision.displaced =
+        late || m_queue.empty() ? std::nullopt : FindDisplaceable(key, now);
+    if (!decision.displaced) {
+      return refused;
+    }
+    Remove(*decision.displaced);
+  }
+  m_queue[key] = {request, now};
+  m_keys[request.ticket] = key;
+  return decision;
 }
 
 AdmissionDecision Admission::Offer(const AdmissionRequest& request,
                                    TimePoint now) {
   if (request.deadline <= now) {
-    return {AdmissionVerdict::kRefused, RefusalReason::kDeadlineNotRun};
+    return {AdmissionVerdict::kRefused, RefusalReason::kDeadlineNotRun, {}};
   }
   const bool overtakes = !m_queue.empty() && !HasSlot(WeightClass::kLong);
   if (HasSlot(request.weight) && (m_queue.empty() || overtakes)) {
     Occupy(request, now);
-    return {AdmissionVerdict::kStart, {}};
+    return {AdmissionVerdict::kStart, {}, {}};
   }
-  if (queued() >= m_limits.queue_length || !CanMeetDeadline(request, now)) {
-    return {AdmissionVerdict::kRefused, RefusalReason::kQueueFull};
-  }
-  const QueueKey key{request.idempotent, request.deadline, request.ticket};
-  m_queue[key] = {request, now};
-  m_keys[request.ticket] = key;
-  return {AdmissionVerdict::kQueued, {}};
+  return Enqueue(request, now);
 }
 
 void Admission::Release(CallTicket ticket, std::optional<Duration> service) {
@@ -78,26 +157,38 @@
   return true;
 }
 
-Admission::Queue::iterator Admission::PickNext() {
-  const auto fits = [this](const auto& item) {
-    return HasSlot(item.second.request.weight);
-  };
-  if ((m_starts + 1) % kOldestEvery != 0) {
-    return std::ranges::find_if(m_queue, fits);
-  }
+Admission::Queue::iterator Admission::PickOldest() {
   auto oldest = m_queue.end();
   for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
     const bool older =
         oldest == m_queue.end() || it->second.since < oldest->second.since;
-    if (older && fits(*it)) {
+    const bool aims = it->second.request.objective != TimePoint{};
+    if (older && !aims && HasSlot(it->second.request.weight)) {
       oldest = it;
     }
   }
   return oldest;
 }
 
+Admission::Queue::iterator Admission::PickNext(TimePoint now) {
+  if ((m_starts + 1) % kOldestEvery == 0) {
+    const auto oldest = PickOldest();
+    if (oldest != m_queue.end()) {
+      return oldest;
+    }
+  }
+  const auto fits = [this](const auto& item) {
+    return HasSlot(item.second.request.weight);
+  };
+  const auto in_time = std::ranges::find_if(m_queue, [&](const auto& item) {
+    return fits(item) && !IsLate(item.second.request, Duration::zero(), now);
+  });
+  return in_time != m_queue.end() ? in_time
+                                  : std::ranges::find_if(m_queue, fits);
+}
+
 std::optional<CallTicket> Admission::StartNext(TimePoint now) {
-  const auto next = PickNext();
+  const auto next = PickNext(now);
   if (next == m_queue.end()) {
     return std::nullopt;
   }
@@ -116,7 +207,9 @@
     if (waiting.request.deadline <= now) {
       expired.push_back(
           {waiting.request.ticket, RefusalReason::kDeadlineNotRun});
-    } else if (now - waiting.since >= m_limits.queue_limit) {
+    } else if (now - waiting.since >= m_limits.queue_limit &&
+               (waiting.request.objective == TimePoint{} ||
+                IsLate(waiting.request, Duration::zero(), now))) {
       expired.push_back({waiting.request.ticket, RefusalReason::kQueueTimeout});
     }
   });
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -36,6 +36,7 @@
 }  // namespace
 
 void UpstreamState::OnSent(TimePoint now) {
+  m_sent_since_report.fetch_add(1, kRelaxed);
   if (m_own.fetch_add(1, kRelaxed) == 0) {
     m_progress_at.store(Ticks(now), kRelaxed);
   }
@@ -62,6 +63,10 @@
   m_limit.store(report.limit, kRelaxed);
   m_service_us.store(report.service_us, kRelaxed);
   m_oldest_short_us.store(report.oldest_short_us, kRelaxed);
+  m_wait_us.store(report.wait_us, kRelaxed);
+  m_slowness.store(report.slowness, kRelaxed);
+  m_sent_since_report.store(0, kRelaxed);
+  m_unanswered.store(0, kRelaxed);
   m_reported_at.store(Ticks(now), kRelaxed);
   if (report.leaving) {
     m_reported_leaving_at.store(Ticks(now), kRelaxed);
@@ -135,9 +140,48 @@
   return 1.0 / std::clamp(warmth, 0.1, 1.0);
 }
 
+Duration UpstreamState::WorkTime(const EstimateOptions& options) const {
+  const std::uint32_t known_us = m_service_us.load(kRelaxed);
+  const Duration usual = known_us == 0
+                             ? options.default_service
+                             : Duration(std::chrono::microseconds(known_us));
+  const Duration work = options.work > Duration::zero() ? options.work : usual;
+  // A slow machine is slow for a while only: work that outlasts it goes on at
+  // the usual speed.
+  constexpr double kPercent = 100.0;
+  const double factor = std::max(1.0, m_slowness.load(kRelaxed) / kPercent);
+  const Duration slowed = Scale(work, factor);
+  if (slowed <= options.slowness_lasts) {
+    return slowed;
+  }
+  return options.slowness_lasts + work -
+         Scale(options.slowness_lasts, 1.0 / factor);
+}
+
+Duration UpstreamState::FreshCost(const EstimateOptions& options) const {
+  const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
+  const double since = m_sent_since_report.load(kRelaxed);
+  const double ahead = m_reported.load(kRelaxed) + since;
+  const Duration work = WorkTime(options);
+  const Duration wait = std::chrono::microseconds(m_wait_us.load(kRelaxed));
+  // Own calls sent since the report wait before this one if there is no slot.
+  const Duration own_wait =
+      ahead >= limit ? Scale(work, since / limit) : Duration::zero();
+  // A fuller upstream is a little slower, which spreads ties.
+  constexpr double kUseWeight = 0.2;
+  return wait + own_wait + Scale(work, 1.0 + kUseWeight * ahead / limit);
+}
+
 Duration UpstreamState::EstimateCost(TimePoint now,
                                      double prior_others,
                                      const EstimateOptions& options) const {
+  const Duration failures =
+      Scale(options.failure_penalty, Failures(now, options));
+  if (ReportAge(now) <= options.fresh_report) {
+    return std::min(
+        Scale(FreshCost(options), ColdFactor(now, options)) + failures,
+        kMaxCost);
+  }
   const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
   const double known_limit = m_limit.load(kRelaxed) == 0 ? 10.0 : limit;
   const double in_flight = InFlight(now, prior_others, options);
@@ -147,8 +191,9 @@
   const double wait = 0.5 * use + 2.0 * std::max(0.0, use - 1.0);
   const Duration service = ServiceTime(now, options);
   const Duration cost =
-      Scale(service, (1.0 + wait) * ColdFactor(now, options)) +
-      Scale(options.failure_penalty, Failures(now, options));
+      Scale(service, (1.0 + wait) * ColdFactor(now, options)) + failures +
+      (m_unanswered.load(kRelaxed) > 0 ? options.silence_penalty
+                                       : Duration::zero());
   return std::min(cost, kMaxCost);
 }
 
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -50,6 +50,10 @@
 }
 
 void CallerConnection::Start() {
+  error_code failed;
+  const auto peer = m_stream.socket().remote_endpoint(failed).address();
+  const auto own = m_stream.socket().local_endpoint(failed).address();
+  m_from_own_vm = !failed && (peer == own || peer.is_loopback());
   WaitForRequest();
 }
 
@@ -245,6 +249,7 @@
         {std::string(field.name_string()), std::string(field.value())});
   }
   request.body = std::move(message.body());
+  request.from_own_vm = m_from_own_vm;
   m_metrics.Add(Counter::kCallsReceived);
   m_call = m_hooks.run(std::move(request),
                        [weak = weak_from_this()](CallerReply reply) {
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -36,6 +36,7 @@
   std::string target;
   std::vector<HttpField> fields;
   std::string body;
+  bool from_own_vm = false;  ///< Its connection comes from the node's own VM.
 };
 
 /// What goes back: the upstream's reply or a refusal.
@@ -152,6 +153,7 @@
   std::size_t m_lingered = 0;
   std::string m_caller_id;  ///< Of the present request, if callers give one.
   bool m_keep_alive = true;
+  bool m_from_own_vm = false;
   bool m_timed_out = false;
   bool m_head_request = false;
   unsigned m_version = 11;
--- a/src/libyuccamast/http/upstream_watch.cpp
+++ b/src/libyuccamast/http/upstream_watch.cpp
@@ -81,7 +81,8 @@
     if (error || m_stopped) {
       return;
     }
-    if (m_draining || !m_health_path.empty()) {
+    const bool knows = m_hooks.knows && m_hooks.knows();
+    if (!knows && (m_draining || !m_health_path.empty())) {
       LookNow();
     }
     ArmTimer();
--- a/src/libyuccamast/http/upstream_watch.h
+++ b/src/libyuccamast/http/upstream_watch.h
@@ -31,6 +31,8 @@
   /// A reply of the health page, with the load that it carried.
   std::function<void(const HealthWord&, const std::optional<UpstreamLoad>&)>
       on_word;
+  /// Whether there is nothing to learn now; empty: never.
+  std::function<bool()> knows;
 };
 
 /// Use from the thread of its io_context only.
--- a/src/libyuccamast/link/messages.h
+++ b/src/libyuccamast/link/messages.h
@@ -20,7 +20,7 @@
 namespace yuccamast {
 
 /// Version of the inner protocol; an offer of another version is refused.
-inline constexpr std::uint32_t kLinkVersion = 1;
+inline constexpr std::uint32_t kLinkVersion = 2;
 
 struct HttpField {
   std::string name;
@@ -46,8 +46,11 @@
   bool idempotent = false;
   bool long_weight = false;
   std::int64_t remaining_us = 0;  ///< Until the deadline, at sending.
-  std::uint32_t depth = 0;        ///< Of nested calls.
-  bool retry = false;             ///< Whether it may be a second run.
+  std::int64_t objective_us = 0;  ///< Until the objective; 0: none.
+  std::uint32_t urgency = 0;
+  bool nested = false;      ///< Made by an upstream that holds a slot for it.
+  std::uint32_t depth = 0;  ///< Of nested calls.
+  bool retry = false;       ///< Whether it may be a second run.
   std::string method;
   std::string target;
   std::vector<HttpField> fields;
@@ -60,6 +63,9 @@
                  idempotent,
                  long_weight,
                  remaining_us,
+                 objective_us,
+                 urgency,
+                 nested,
                  depth,
                  retry,
                  method,
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -40,6 +40,7 @@
   kPeerConnects,
   kPeerLosses,
   kProbesSent,
+  kLoadAsked,
   kPauses,
   kConfigReads,
   kVmListReads,
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -16,6 +16,9 @@
 /// Time after which an exit that refused for a pause is offered to again.
 constexpr Duration kPausedWait = std::chrono::milliseconds(80);
 
+/// Longest wait for the answers of asked exits. Beyond a round trip within a
+/// region there is no use in waiting.
+constexpr Duration kAskLimit = std::chrono::milliseconds(8);
 /// Shortest remaining time that is worth an offer.
 constexpr Duration kLeastTime = std::chrono::milliseconds(1);
 
@@ -157,6 +160,9 @@
         std::min<Duration>(allowed, std::chrono::milliseconds(*m_inherited_ms));
   }
   m_deadline = m_begun_at + allowed;
+  if (m_rule->objective > std::chrono::milliseconds::zero()) {
+    m_objective = m_begun_at + m_rule->objective;
+  }
   return std::nullopt;
 }
 
@@ -188,7 +194,46 @@
   ArmDeadline();
   AtStep(CallStep::kMatched, [self = shared_from_this()] {
     if (!self->m_over) {
-      self->TryNext(RefusalReason::kNoUpstream);
+      self->AskAndTry(RefusalReason::kNoUpstream);
+    }
+  });
+}
+
+std::vector<AskTarget> EntryCall::PickToAsk() {
+  const TimePoint now = Clock::now();
+  const EstimateOptions options;
+  std::vector<AskTarget> targets;
+  const std::size_t count = m_service->candidates.size();
+  const std::size_t start = count == 0 ? 0 : m_context.random() % count;
+  for (std::size_t i = 0; i < count && targets.size() < kSampleSize; ++i) {
+    const std::size_t index = (start + i) % count;
+    const auto& state = m_service->candidates[index].state;
+    const bool tried = std::ranges::find(m_tried, index) != m_tried.end();
+    if (tried || state->Leaving(now) ||
+        state->ReportAge(now) < options.fresh_report / 2) {
+      continue;
+    }
+    const tcp::endpoint& node = m_service->members[index].node;
+    targets.push_back({{node.address(), static_cast<std::uint16_t>(
+                                            node.port() + kLoadPortOffset)},
+                       state});
+  }
+  return targets;
+}
+
+void EntryCall::AskAndTry(RefusalReason if_none) {
+  std::vector<AskTarget> targets;
+  if (m_context.settings.asks_load &&
+      m_service->service.policy == PolicyKind::kLeastCost) {
+    targets = PickToAsk();
+  }
+  if (targets.empty()) {
+    TryNext(if_none);
+    return;
+  }
+  m_context.asker.Ask(targets, kAskLimit, [self = shared_from_this(), if_none] {
+    if (!self->m_over) {
+      self->TryNext(if_none);
     }
   });
 }
@@ -254,6 +299,14 @@
   offer.long_weight = m_rule->weight == WeightClass::kLong;
   offer.remaining_us = static_cast<std::int64_t>(
       Micros(m_deadline - attempt.sent_at - ReplyMargin(attempt)));
+  if (m_objective != TimePoint{}) {
+    offer.objective_us = std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::microseconds>(
+               m_objective - attempt.sent_at - ReplyMargin(attempt))
+               .count());
+  }
+  offer.urgency = m_rule->urgency;
+  offer.nested = m_request.from_own_vm;
   offer.depth = m_depth + 1;
   offer.retry = m_below_retry || m_may_be_second;
   offer.method = m_request.method;
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -12,6 +12,7 @@
 
 #include "http/caller_connection.h"
 #include "node/fleet_view.h"
+#include "node/load_ask.h"
 #include "node/peer_link.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
@@ -60,6 +61,7 @@
   std::uint64_t calls = 0;    ///< Calls begun, for call ids.
   std::mt19937_64 random;
   std::map<std::string, SplitTurns, std::less<>> turns;  ///< By rule.
+  LoadAsker& asker;
   std::function<std::shared_ptr<PeerLink>(const tcp::endpoint&)> link;
   /// Whether the view of the world is too old to route by.
   std::function<bool()> view_is_old;
@@ -104,6 +106,8 @@
   std::optional<RefusalReason> Match();
   std::optional<RefusalReason> ReadOwnFields();
   void ArmDeadline();
+  void AskAndTry(RefusalReason if_none);
+  std::vector<AskTarget> PickToAsk();
   void TryNext(RefusalReason if_none);
   void Offer(std::size_t member);
   OfferMessage BuildOffer(const Attempt& attempt);
@@ -133,6 +137,7 @@
   const ServiceView* m_service = nullptr;
   TimePoint m_begun_at;
   TimePoint m_deadline;
+  TimePoint m_objective{};  ///< Never: none.
   asio::steady_timer m_timer;
   std::vector<std::size_t> m_tried;
   Attempt m_attempt;
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -39,6 +39,7 @@
       m_io(1),
       m_acceptor(m_io),
       m_tick(m_io),
+      m_asker(m_io, shared.metrics),
       m_context{m_io,
                 shared.settings,
                 shared.store,
@@ -48,6 +49,7 @@
                 0,
                 {},
                 {},
+                m_asker,
                 {},
                 {},
                 shared.at_step},
@@ -88,6 +90,7 @@
 EntryWorker::~EntryWorker() {
   boost::asio::post(m_io, [this] {
     StopAccepting();
+    m_asker.Close();
     m_tick.cancel();
     const auto links = m_links;
     std::ranges::for_each(links,
@@ -110,6 +113,9 @@
   m_acceptor.bind(endpoint);
   m_acceptor.listen();
   m_guard.emplace(m_io.get_executor());
+  if (m_shared.settings.asks_load) {
+    m_asker.Open(m_shared.settings.ip);
+  }
   Accept();
   ArmTick();
   m_thread = std::thread([this] { m_io.run(); });
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -83,6 +83,7 @@
       m_guard;
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::steady_timer m_tick;
+  LoadAsker m_asker;
   EntryContext m_context;
   CallerHooks m_hooks;
   PauseDetector m_pause;
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -15,9 +15,15 @@
 constexpr Duration kTick = std::chrono::milliseconds(5);
 constexpr Duration kPauseGap = std::chrono::milliseconds(300);
 constexpr Duration kSettle = std::chrono::milliseconds(50);
-/// Time between two questions to the upstream's health page.
+/// Time between two questions to the upstream's health page, where its load is
+/// worth asking for, and where only a sign of draining is looked for.
+constexpr Duration kLoadPeriod = std::chrono::milliseconds(100);
 constexpr Duration kHealthPeriod = std::chrono::milliseconds(500);
+/// A figure of load from a reply, this young, spares the question.
+constexpr Duration kFreshLoad = std::chrono::milliseconds(80);
 
+/// The first status that says that the server failed.
+constexpr std::uint32_t kFirstErrorStatus = 500;
 /// Lives of peers' processes whose sequence windows are kept.
 constexpr std::size_t kMaxWindows = 8192;
 
@@ -50,9 +56,11 @@
                            const std::optional<UpstreamLoad>& load) {
       OnHealthWord(word, load);
     };
+    hooks.knows = [this] { return Clock::now() - m_load_at < kFreshLoad; };
     m_watch = std::make_unique<UpstreamWatch>(
-        io, m_upstream->endpoint(), settings.health_path, kHealthPeriod,
-        *settings.dialect, metrics, std::move(hooks));
+        io, m_upstream->endpoint(), settings.health_path,
+        settings.asks_load ? kLoadPeriod : kHealthPeriod, *settings.dialect,
+        metrics, std::move(hooks));
   }
 }
 
@@ -71,7 +79,10 @@
 }
 
 void ExitCalls::OnHealthWord(const HealthWord& word,
-                             const std::optional<UpstreamLoad>& /*load*/) {
+                             const std::optional<UpstreamLoad>& load) {
+  if (load) {
+    OnLoad(*load, Clock::now());
+  }
   if (!word.upstream.empty() && word.upstream != m_named) {
     Log(LogLevel::kInfo, LogEvent::kUpstreamNamed,
         {{"upstream", word.upstream}, {"before", m_named}});
@@ -79,6 +90,11 @@
   }
 }
 
+void ExitCalls::OnLoad(const UpstreamLoad& load, TimePoint now) {
+  m_slowness = load.slowness;
+  m_load_at = now;
+}
+
 bool ExitCalls::IsMine(const std::string& upstream) const {
   if (m_upstream == nullptr) {
     return false;
@@ -233,6 +249,13 @@
   request.weight =
       call->offer.long_weight ? WeightClass::kLong : WeightClass::kShort;
   request.idempotent = call->offer.idempotent;
+  if (call->offer.objective_us > 0) {
+    request.objective =
+        call->received_at + std::chrono::microseconds(call->offer.objective_us);
+  }
+  request.urgency = call->offer.urgency;
+  request.nested = call->offer.nested;
+  request.expected = m_work.Expected(call->offer.rule);
   const AdmissionDecision decision = m_admission.Offer(request, now);
   if (decision.verdict == AdmissionVerdict::kRefused) {
     Log(LogLevel::kDebug, LogEvent::kOfferRefused,
@@ -241,6 +264,10 @@
     AnswerRefusal(call->reply, decision.reason);
     return;
   }
+  if (decision.displaced) {
+    const CallPtr loser = m_calls.at(*decision.displaced);
+    RefuseCall(loser, RefusalReason::kQueueFull);
+  }
   m_metrics.Add(Counter::kOffersAdmitted);
   m_calls[call->ticket] = call;
   m_by_key[call->key] = call->ticket;
@@ -339,6 +366,12 @@
   ReleaseSlot(call, started && whole != nullptr && whole->status < 500);
   AnswerMessage answer;
   if (whole != nullptr) {
+    if (const auto load = m_settings.dialect->read_load(*whole)) {
+      OnLoad(*load, now);
+    }
+    if (whole->status < kFirstErrorStatus) {
+      m_work.Learn(call->offer.rule, service);
+    }
     m_metrics.Add(Counter::kRunsFinished);
     m_metrics.Record(Latency::kUpstream, service);
     call->life.MoveTo(CallStep::kAnswered);
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -16,6 +16,7 @@
 #include "node/settings.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/admission/admission.h"
+#include "yuccamast/admission/work_times.h"
 #include "yuccamast/membership/pause_detector.h"
 #include "yuccamast/outcome/call_life.h"
 #include "yuccamast/outcome/sequence_window.h"
@@ -109,6 +110,7 @@
   bool Draining() const { return m_watch != nullptr && m_watch->draining(); }
   void OnDraining(bool draining);
   bool IsMine(const std::string& upstream) const;
+  void OnLoad(const UpstreamLoad& load, TimePoint now);
   void OnHealthWord(const HealthWord& word,
                     const std::optional<UpstreamLoad>& load);
 
@@ -121,6 +123,9 @@
   Admission m_admission;
   std::unique_ptr<UpstreamPool> m_upstream;
   std::shared_ptr<const FleetView> m_limits_from;
+  WorkTimes m_work;
+  std::uint32_t m_slowness = 100;  ///< As the upstream last said, in percent.
+  TimePoint m_load_at{};
   std::string m_named;  ///< What the upstream last called itself.
   bool m_listed_leaving = false;
   std::unordered_map<CallTicket, CallPtr> m_calls;
--- a/src/libyuccamast/node/exit_face.cpp
+++ b/src/libyuccamast/node/exit_face.cpp
@@ -12,7 +12,8 @@
                    std::uint64_t boot_id)
     : m_settings(settings),
       m_acceptor(io),
-      m_calls(io, settings, store, metrics, budget, boot_id) {}
+      m_calls(io, settings, store, metrics, budget, boot_id),
+      m_answerer(io, metrics, [this] { return m_calls.Report(); }) {}
 
 void ExitFace::Listen() {
   const tcp::endpoint endpoint(asio::ip::make_address(m_settings.ip),
@@ -21,6 +22,11 @@
   m_acceptor.set_option(tcp::acceptor::reuse_address(true));
   m_acceptor.bind(endpoint);
   m_acceptor.listen();
+  if (m_settings.asks_load) {
+    m_answerer.Open(
+        m_settings.ip,
+        static_cast<std::uint16_t>(m_settings.inner_port + kLoadPortOffset));
+  }
   Accept();
   m_calls.Start();
 }
@@ -93,6 +99,7 @@
   const auto sessions = m_sessions;
   std::ranges::for_each(sessions,
                         [](const auto& item) { item.second->Close(); });
+  m_answerer.Close();
   m_calls.Close();
 }
 
--- a/src/libyuccamast/node/exit_face.h
+++ b/src/libyuccamast/node/exit_face.h
@@ -10,6 +10,7 @@
 
 #include "link/server.h"
 #include "node/exit_calls.h"
+#include "node/load_ask.h"
 #include "node/settings.h"
 
 /// \file exit_face.h
@@ -67,6 +68,7 @@
   std::map<LinkServer*, std::shared_ptr<LinkServer>> m_sessions;
   std::uint32_t m_session_count = 0;
   ExitCalls m_calls;
+  LoadAnswerer m_answerer;
   bool m_closed = false;
 };
 
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -18,6 +18,9 @@
   report.oldest_short_us =
       static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
   report.leaving = leaving();
+  report.wait_us =
+      static_cast<std::uint32_t>(Micros(m_admission.ExpectedWait()));
+  report.slowness = m_slowness;
   return report;
 }
 
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -213,6 +213,7 @@
   settings.ready_port = ReadAddress(reader, "ready_address").port();
   settings.ready_path = reader.String("ready_path", "/health");
   settings.service = reader.String("service", "");
+  settings.asks_load = reader.Bool("asks_load", false);
   settings.slot_share =
       reader.Double("slot_share", kLeastSlotShare, 1.0, settings.slot_share);
   settings.inner_port = ReadPort(reader, "inner_port");
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -76,6 +76,9 @@
   LinkOptions link;
   StopLimits stop;
   DistanceTable distance;
+  /// Whether exits are asked for their load before a choice; all nodes of a
+  /// fleet then answer at the inner port and one.
+  bool asks_load = false;
   MembershipOptions membership;
   SharedRetryLimit retry_limit;
   /// Share of an upstream's slots that the exit uses; servers slow down when
