--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -158,18 +158,29 @@
          Scale(options.slowness_lasts, 1.0 / factor);
 }
 
+namespace {
+
+/// Waiting and slowing by others, in service times, at a use of 0..1 and above.
+/// Below the limit a call runs at once, but neighbours already slow it a
+/// little; above it, it waits for whole service times.
+double Crowding(double use) {
+  constexpr double kSlowing = 0.5;
+  constexpr double kWaiting = 2.0;
+  return kSlowing * use + kWaiting * std::max(0.0, use - 1.0);
+}
+
+}  // namespace
+
 Duration UpstreamState::FreshCost(const EstimateOptions& options) const {
   const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
   const double since = m_sent_since_report.load(kRelaxed);
-  const double ahead = m_reported.load(kRelaxed) + since;
+  const double use = (m_reported.load(kRelaxed) + since + 1.0) / limit;
   const Duration work = WorkTime(options);
-  const Duration wait = std::chrono::microseconds(m_wait_us.load(kRelaxed));
-  // Own calls sent since the report wait before this one if there is no slot.
-  const Duration own_wait =
-      ahead >= limit ? Scale(work, since / limit) : Duration::zero();
-  // A fuller upstream is a little slower, which spreads ties.
-  constexpr double kUseWeight = 0.2;
-  return wait + own_wait + Scale(work, 1.0 + kUseWeight * ahead / limit);
+  const Duration told = std::chrono::microseconds(m_wait_us.load(kRelaxed));
+  // What is sent since the report waits before this call, if there is no slot.
+  const Duration wait =
+      told + (use > 1.0 ? Scale(work, since / limit) : Duration::zero());
+  return std::max(wait + work, Scale(work, 1.0 + Crowding(use)));
 }
 
 Duration UpstreamState::EstimateCost(TimePoint now,
@@ -185,10 +196,7 @@
   const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
   const double known_limit = m_limit.load(kRelaxed) == 0 ? 10.0 : limit;
   const double in_flight = InFlight(now, prior_others, options);
-  // Below the limit a call runs at once, but neighbours already slow it a
-  // little; above it, it waits for whole service times.
-  const double use = (in_flight + 1.0) / known_limit;
-  const double wait = 0.5 * use + 2.0 * std::max(0.0, use - 1.0);
+  const double wait = Crowding((in_flight + 1.0) / known_limit);
   const Duration service = ServiceTime(now, options);
   const Duration cost =
       Scale(service, (1.0 + wait) * ColdFactor(now, options)) + failures +
