Log decisions on standard output, bounded; reread settings; trace a call

Cause: on-call engineers have logs and metrics alone, and until now calls were logged at debug only, on standard error, by the thread that served them; and SIGHUP ended the process. Change: a line for each refusal, move, retry, fault and cancellation with what decided it, sampled ordinary ends, a writer thread with a bound that counts what it drops; yuccamast trace; SIGHUP and a changed file are read again.

--- a/src/libyuccamast/link/messages.h
+++ b/src/libyuccamast/link/messages.h
@@ -41,7 +41,8 @@
   std::uint32_t version = kLinkVersion;
   OfferOrigin origin;
   std::string call_id;
-  std::string upstream;  ///< The exit refuses if it serves another one.
+  std::uint32_t attempt = 0;  ///< Number of this offer of the call, from 1.
+  std::string upstream;       ///< The exit refuses if it serves another one.
   std::string rule;
   bool idempotent = false;
   bool long_weight = false;
@@ -58,6 +59,7 @@
   MSGPACK_DEFINE(version,
                  origin,
                  call_id,
+                 attempt,
                  upstream,
                  rule,
                  idempotent,
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -1,13 +1,18 @@
 #include "log/log.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
-#include <iostream>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include "log/line_writer.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -19,48 +24,72 @@
                                                          "warning", "error"};
 
 constexpr std::array<std::string_view, kLogEventCount> kEventNames = {
-    "node_started",
-    "node_leaving",
-    "node_stopped",
-    "stop_overrun",
-    "stop_call_left",
-    "settings_refused",
-    "config_accepted",
-    "config_refused",
-    "config_stale",
-    "config_conflict",
-    "platform_unreachable",
-    "platform_reachable",
-    "vm_list_accepted",
-    "vm_list_refused",
-    "peer_connected",
-    "peer_lost",
-    "pause_noticed",
-    "call_refused",
-    "call_finished",
-    "call_retried",
-    "upstream_fault",
-    "offer_refused",
-    "caller_refused",
-    "member_changed",
-    "upstream_draining",
-    "upstream_named",
-    "source_call_failed",
-    "source_item_refused",
+    "node_started",      "node_leaving",         "node_stopped",
+    "stop_overrun",      "stop_call_left",       "settings_refused",
+    "config_accepted",   "config_refused",       "config_stale",
+    "config_conflict",   "platform_unreachable", "platform_reachable",
+    "vm_list_accepted",  "vm_list_refused",      "peer_connected",
+    "peer_lost",         "pause_noticed",        "call_refused",
+    "call_finished",     "call_retried",         "upstream_fault",
+    "offer_refused",     "caller_refused",       "member_changed",
+    "upstream_draining", "upstream_named",       "call_moved",
+    "run_cancelled",     "settings_reloaded",    "log_suppressed",
+    "log_dropped",       "source_call_failed",   "source_item_refused",
     "internal"};
 
 std::atomic<LogLevel> g_lowest{LogLevel::kWarning};
 std::string g_node;  // Written before threads start.
 
-/// Sends formatted lines to standard error as they are.
-class StderrSink : public el::LogDispatchCallback {
+/// Lines that wait for the reader of the log, at most.
+constexpr std::size_t kMaxHeldBytes = 256U << 10U;
+
+std::unique_ptr<LineWriter> g_writer;  // Made before threads start.
+
+/// Hands formatted lines to the writer as they are.
+class WriterSink : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
-    const std::string line = data->logMessage()->message() + "\n";
-    std::cerr.write(line.data(), static_cast<std::streamsize>(line.size()));
+    if (g_writer != nullptr) {
+      g_writer->Push(data->logMessage()->message());
+    }
   }
 };
 
+/// A bucket of tokens that fills with time.
+class LineRate {
+ public:
+  explicit LineRate(double per_second) : m_per_second(per_second) {}
+
+  /// Takes a token. On success `withheld` is the number of failures since the
+  /// last success.
+  bool Take(std::uint64_t& withheld) {
+    const std::lock_guard lock(m_mutex);
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - m_filled_at;
+    m_filled_at = now;
+    m_tokens = std::min(m_per_second * kLogBurstSeconds,
+                        m_tokens + passed.count() * m_per_second);
+    if (m_tokens < 1.0) {
+      ++m_withheld;
+      return false;
+    }
+    m_tokens -= 1.0;
+    withheld = std::exchange(m_withheld, 0);
+    return true;
+  }
+
+ private:
+  std::mutex m_mutex;
+  const double m_per_second;
+  double m_tokens = m_per_second * kLogBurstSeconds;
+  std::uint64_t m_withheld = 0;
+  std::chrono::steady_clock::time_point m_filled_at =
+      std::chrono::steady_clock::now();
+};
+
+LineRate g_samples(kSamplesPerSecond);
+LineRate g_decisions(kDecisionsPerSecond);
+
 std::string TimeStamp() {
   using std::chrono::system_clock;
   const auto now = system_clock::now();
@@ -158,7 +187,22 @@
   el::Loggers::reconfigureLogger("default", settings);
   el::Helpers::uninstallLogDispatchCallback<
       el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
-  el::Helpers::installLogDispatchCallback<StderrSink>("StderrSink");
+  g_writer = std::make_unique<LineWriter>(STDOUT_FILENO, kMaxHeldBytes);
+  el::Helpers::installLogDispatchCallback<WriterSink>("WriterSink");
+}
+
+void CloseLog() {
+  g_writer.reset();
+}
+
+bool MayLog(LogClass log_class) {
+  std::uint64_t withheld = 0;
+  const bool sample = log_class == LogClass::kSample;
+  const bool may = (sample ? g_samples : g_decisions).Take(withheld);
+  if (may && !sample && withheld > 0) {
+    Log(LogLevel::kWarning, LogEvent::kLogSuppressed, {{"lines", withheld}});
+  }
+  return may;
 }
 
 bool IsLogged(LogLevel level) {
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -7,11 +7,17 @@
 #include <string_view>
 
 /// \file log.h
-/// Structured log: one line of key=value pairs an event, on standard error.
+/// Structured log: one line of key=value pairs an event, on standard output.
 ///
-/// The lines are written by easylogging++. Values are quoted when needed, and
-/// control bytes, quotes and backslashes are escaped, so text that came from
-/// outside cannot forge a second line or field.
+/// The lines go through easylogging++ to a writer with a thread of its own, see
+/// line_writer.h. Values are quoted when needed, and control bytes, quotes and
+/// backslashes are escaped, so text that came from outside cannot forge a
+/// second line or field.
+///
+/// Lines about single calls are bounded by a rate: ask `MayLog` before the
+/// fields are put together. Ordinary ends are sampled; refusals, failures,
+/// retries and moves have a rate far above what a healthy node needs. What the
+/// rate withholds is counted and told.
 
 namespace yuccamast {
 
@@ -48,6 +54,11 @@
   kMemberChanged,
   kUpstreamDraining,
   kUpstreamNamed,
+  kCallMoved,
+  kRunCancelled,
+  kSettingsReloaded,
+  kLogSuppressed,
+  kLogDropped,
   kSourceCallFailed,
   kSourceItemRefused,
   kInternal,
@@ -58,6 +69,21 @@
 
 std::string_view NameOf(LogEvent event);
 
+/// How often lines about single calls may be written.
+enum class LogClass : std::uint8_t {
+  kSample,    ///< An ordinary end.
+  kDecision,  ///< A refusal, failure, retry or move.
+};
+
+/// Lines a second of each class, in the long run and in a burst.
+inline constexpr double kSamplesPerSecond = 2;
+inline constexpr double kDecisionsPerSecond = 50;
+inline constexpr double kLogBurstSeconds = 4;
+
+/// Whether a line of the class may be written now; takes its place in the
+/// rate. Thread-safe.
+bool MayLog(LogClass log_class);
+
 /// One field of a line. Numbers are kept as text.
 struct LogField {
   LogField(std::string_view k, std::string_view v) : key(k), value(v) {}
@@ -79,6 +105,10 @@
 /// Sets up the logger once, before threads start.
 void SetUpLog(LogLevel lowest, std::string_view node);
 
+/// Writes what is held and ends the writer; call once, when the other threads
+/// have ended or are done logging.
+void CloseLog();
+
 /// Whether lines of `level` are written. Thread-safe and cheap.
 bool IsLogged(LogLevel level);
 
--- /dev/null
+++ b/src/libyuccamast/log/trace.cpp
@@ -0,0 +1,90 @@
+#include "log/trace.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <tuple>
+
+namespace yuccamast {
+
+namespace {
+
+/// Place of an event within its attempt.
+struct Phase {
+  std::string_view event;
+  int rank;
+};
+
+constexpr std::array<Phase, 7> kPhases = {{{"offer_refused", 0},
+                                           {"upstream_fault", 0},
+                                           {"run_cancelled", 1},
+                                           {"call_moved", 2},
+                                           {"call_retried", 2},
+                                           {"call_refused", 3},
+                                           {"call_finished", 3}}};
+
+int RankOf(std::string_view event) {
+  const auto phase = std::ranges::find(kPhases, event, &Phase::event);
+  return phase == kPhases.end() ? 0 : phase->rank;
+}
+
+struct TracedLine {
+  long attempt = 0;
+  int rank = 0;
+  std::string text;
+};
+
+}  // namespace
+
+std::string FieldOfLine(std::string_view line, std::string_view key) {
+  std::size_t at = 0;
+  while (at < line.size()) {
+    const std::size_t equals = line.find('=', at);
+    if (equals == std::string_view::npos) {
+      return "";
+    }
+    const std::string_view name = line.substr(at, equals - at);
+    std::size_t begin = equals + 1;
+    std::size_t end = begin;
+    const bool quoted = begin < line.size() && line[begin] == '"';
+    if (quoted) {
+      ++begin;
+      end = begin;
+      while (end < line.size() && line[end] != '"') {
+        end += line[end] == '\\' ? 2 : 1;
+      }
+    } else {
+      end = std::min(line.find(' ', begin), line.size());
+    }
+    end = std::min(end, line.size());
+    if (name == key) {
+      return std::string(line.substr(begin, end - begin));
+    }
+    at = std::min(end + (quoted ? 2 : 1), line.size());
+  }
+  return "";
+}
+
+std::vector<std::string> TraceCall(std::string_view id,
+                                   const std::vector<TraceSource>& sources) {
+  std::vector<TracedLine> found;
+  std::ranges::for_each(sources, [&](const TraceSource& source) {
+    std::ranges::for_each(source.lines, [&](const std::string& line) {
+      if (FieldOfLine(line, "call") != id) {
+        return;
+      }
+      const std::string attempt = FieldOfLine(line, "attempt");
+      found.push_back({std::strtol(attempt.c_str(), nullptr, 10),
+                       RankOf(FieldOfLine(line, "event")), line});
+    });
+  });
+  std::ranges::stable_sort(found, [](const auto& a, const auto& b) {
+    return std::tie(a.attempt, a.rank) < std::tie(b.attempt, b.rank);
+  });
+  std::vector<std::string> lines;
+  std::ranges::transform(found, std::back_inserter(lines),
+                         [](TracedLine& line) { return std::move(line.text); });
+  return lines;
+}
+
+}  // namespace yuccamast
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -28,6 +28,9 @@
 /// 2^64 over the golden ratio: steps of it spread evenly over the range.
 constexpr std::uint64_t kGoldenStep = 0x9e3779b97f4a7c15U;
 
+/// The first status that says that the server failed.
+constexpr std::uint32_t kFirstServerError = 500;
+
 bool IsServerError(std::uint32_t status) {
   return status == 500 || status == 502 || status == 503 || status == 504;
 }
@@ -293,6 +296,7 @@
   offer.origin = {m_context.settings.vm, m_context.boot_id,
                   attempt.link->NextSequence()};
   offer.call_id = m_id;
+  offer.attempt = static_cast<std::uint32_t>(m_offers);
   offer.upstream = m_service->members[attempt.member].upstream;
   offer.rule = m_rule->name;
   offer.idempotent = m_rule->idempotent;
@@ -314,7 +318,7 @@
   offer.fields = EndToEnd(m_request.fields);
   const std::string& origin = m_context.settings.dialect->caller_service_field;
   if (!origin.empty()) {
-    SetField(offer.fields, origin, m_context.settings.service);
+    SetField(offer.fields, origin, m_context.service());
   }
   offer.body = m_request.body;
   return offer;
@@ -329,6 +333,7 @@
   m_attempt.link = m_context.link(m_service->members[member].node);
   m_attempt.sent_at = Clock::now();
   m_attempt.open = true;
+  m_attempt.report_age = m_attempt.state->ReportAge(m_attempt.sent_at);
   m_attempt.state->OnSent(m_attempt.sent_at);
   m_life.MoveTo(CallStep::kOffered);
   OfferHooks hooks;
@@ -422,6 +427,7 @@
     }
   }
   m_context.metrics.Add(Counter::kCallsMoved);
+  LogDecision(LogLevel::kInfo, LogEvent::kCallMoved, InfoOf(reason).name);
   TryNext(reason);
 }
 
@@ -454,8 +460,7 @@
     return false;
   }
   m_context.metrics.Add(Counter::kCallsRetried);
-  Log(LogLevel::kDebug, LogEvent::kCallRetried,
-      {{"call", m_id}, {"rule", m_rule->name}});
+  LogDecision(LogLevel::kInfo, LogEvent::kCallRetried, "unknown_or_failed");
   return true;
 }
 
@@ -512,6 +517,44 @@
   Finish();
 }
 
+void EntryCall::LogDecision(LogLevel level,
+                            LogEvent event,
+                            std::string_view reason,
+                            std::string_view outcome) const {
+  if (!MayLog(LogClass::kDecision)) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const bool offered = m_offers > 0;
+  const bool known = m_view != nullptr && m_view->config != nullptr;
+  const auto left = m_rule == nullptr ? Duration::zero() : m_deadline - now;
+  const auto millis = [](Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+        .count();
+  };
+  Log(level, event,
+      {{"call", m_id},
+       {"reason", reason},
+       {"outcome", outcome},
+       {"rule", m_rule == nullptr ? "" : m_rule->name},
+       {"target", m_request.target},
+       {"upstream",
+        offered ? m_service->members[m_attempt.member].upstream : ""},
+       {"vm", offered ? m_service->members[m_attempt.member].vm : ""},
+       {"attempt", m_offers},
+       {"arrivals", m_arrivals},
+       {"age_ms", millis(now - m_begun_at)},
+       {"left_ms", millis(left)},
+       {"config", known ? m_view->config->revision : 0},
+       {"list", known && m_view->vms != nullptr ? m_view->vms->revision : 0},
+       {"candidates", m_service == nullptr ? 0 : m_service->candidates.size()},
+       {"report_us",
+        offered && m_attempt.report_age != Duration::max()
+            ? static_cast<std::int64_t>(Micros(m_attempt.report_age))
+            : -1},
+       {"budget", m_service == nullptr ? 0.0 : m_service->retries->tokens()}});
+}
+
 void EntryCall::Deliver(HttpReply reply, Duration at_upstream) {
   const Duration took = Clock::now() - m_begun_at;
   m_context.metrics.Record(Latency::kCall, took);
@@ -519,13 +562,18 @@
     m_context.metrics.Record(Latency::kAdded, took - at_upstream);
   }
   m_life.MoveTo(CallStep::kAnswered);
-  if (IsLogged(LogLevel::kDebug)) {
-    Log(LogLevel::kDebug, LogEvent::kCallFinished,
+  const bool ordinary = reply.status < kFirstServerError && m_offers == 1;
+  if (MayLog(ordinary ? LogClass::kSample : LogClass::kDecision)) {
+    Log(LogLevel::kInfo, LogEvent::kCallFinished,
         {{"call", m_id},
          {"rule", m_rule->name},
          {"status", reply.status},
          {"us", Micros(took)},
-         {"offers", m_offers}});
+         {"upstream", m_service->members[m_attempt.member].upstream},
+         {"vm", m_service->members[m_attempt.member].vm},
+         {"attempt", m_offers},
+         {"late", m_objective != TimePoint{} && Clock::now() > m_objective},
+         {"config", m_view->config->revision}});
   }
   Finish();
   AtStep(CallStep::kRelayed,
@@ -544,11 +592,8 @@
     reason = RefusalReason::kPeerLost;
   }
   m_life.MoveTo(CallStep::kRefused);
-  Log(LogLevel::kDebug, LogEvent::kCallRefused,
-      {{"call", m_id},
-       {"reason", InfoOf(reason).name},
-       {"outcome", NameOf(InfoOf(reason).claim)},
-       {"target", m_request.target}});
+  LogDecision(LogLevel::kWarning, LogEvent::kCallRefused, InfoOf(reason).name,
+              NameOf(InfoOf(reason).claim));
   const Done done = std::move(m_done);
   m_done = nullptr;
   Finish();
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "http/caller_connection.h"
+#include "log/log.h"
 #include "node/fleet_view.h"
 #include "node/load_ask.h"
 #include "node/peer_link.h"
@@ -66,6 +67,8 @@
   /// Whether the view of the world is too old to route by.
   std::function<bool()> view_is_old;
   const StepHook& at_step;
+  /// Service on this VM, as the settings say now.
+  std::function<std::string()> service;
 };
 
 /// Use from the entry's thread only.
@@ -95,6 +98,7 @@
     std::shared_ptr<PeerLink> link;
     OfferId offer = 0;
     TimePoint sent_at;
+    Duration report_age{};  ///< Of the report that the choice was made by.
     bool open = false;
   };
 
@@ -126,6 +130,10 @@
   void Deliver(HttpReply reply, Duration at_upstream);
   void Refuse(RefusalReason reason);
   void Finish();
+  void LogDecision(LogLevel level,
+                   LogEvent event,
+                   std::string_view reason,
+                   std::string_view outcome = "") const;
 
   EntryContext& m_context;
   CallerRequest m_request;
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -52,13 +52,15 @@
                 m_asker,
                 {},
                 {},
-                shared.at_step},
+                shared.at_step,
+                {}},
       m_pause(kPauseGap, kSettle, Clock::now()) {
   std::seed_seq seed{boot_id, boot_id >> 32U};
   m_context.random.seed(seed);
   m_context.link = [this](const tcp::endpoint& endpoint) {
     return LinkTo(endpoint);
   };
+  m_context.service = [this] { return *m_shared.service.load(); };
   m_context.view_is_old = [this] {
     const TimePoint now = Clock::now();
     if (m_pause.Check(now) > Duration::zero()) {
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -36,6 +36,8 @@
   Metrics& metrics;
   MemoryBudget& budget;
   const StepHook& at_step;
+  /// Service on this VM; changes with the settings.
+  std::atomic<std::shared_ptr<const std::string>> service;
   std::atomic<bool> leaving{false};
   std::atomic<std::size_t> connections{0};
 };
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -224,8 +224,7 @@
   const TimePoint now = Clock::now();
   RefreshLimits();
   if (const auto reason = CheckOffer(offer, now)) {
-    Log(LogLevel::kDebug, LogEvent::kOfferRefused,
-        {{"call", offer.call_id}, {"reason", InfoOf(*reason).name}});
+    LogRefusedOffer(offer, *reason);
     AnswerRefusal(reply, *reason);
     return;
   }
@@ -258,9 +257,7 @@
   request.expected = m_work.Expected(call->offer.rule);
   const AdmissionDecision decision = m_admission.Offer(request, now);
   if (decision.verdict == AdmissionVerdict::kRefused) {
-    Log(LogLevel::kDebug, LogEvent::kOfferRefused,
-        {{"call", call->offer.call_id},
-         {"reason", InfoOf(decision.reason).name}});
+    LogRefusedOffer(call->offer, decision.reason);
     AnswerRefusal(call->reply, decision.reason);
     return;
   }
@@ -380,8 +377,7 @@
     answer.upstream_us = Micros(service);
   } else {
     const auto reason = std::get<RefusalReason>(result);
-    Log(LogLevel::kDebug, LogEvent::kUpstreamFault,
-        {{"call", call->offer.call_id}, {"reason", InfoOf(reason).name}});
+    LogRun(*call, LogEvent::kUpstreamFault, InfoOf(reason).name);
     call->life.MoveTo(CallStep::kRefused);
     answer.refused = true;
     answer.reason = static_cast<std::uint8_t>(reason);
@@ -425,6 +421,7 @@
 }
 
 void ExitCalls::RefuseCall(const CallPtr& call, RefusalReason reason) {
+  LogRun(*call, LogEvent::kOfferRefused, InfoOf(reason).name);
   call->life.MoveTo(CallStep::kRefused);
   if (!call->told) {
     call->told = true;
@@ -476,6 +473,7 @@
     return;
   }
   const CallPtr call = m_calls.at(found->second);
+  LogRun(*call, LogEvent::kRunCancelled, "given_up_by_entry");
   call->told = true;
   if (call->life.TryCancel()) {
     m_admission.Remove(call->ticket);
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -12,6 +12,7 @@
 #include "http/upstream_pool.h"
 #include "http/upstream_watch.h"
 #include "link/server.h"
+#include "log/log.h"
 #include "node/fleet_view.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
@@ -97,6 +98,8 @@
   void OnRunDone(const CallPtr& call, UpstreamResult result);
   void OnDeadline(const CallPtr& call);
   void StartQueued();
+  void LogRefusedOffer(const OfferMessage& offer, RefusalReason reason) const;
+  void LogRun(const Call& call, LogEvent event, std::string_view reason) const;
   void AnswerRefusal(const StreamReply& reply, RefusalReason reason) const;
   void RefuseCall(const CallPtr& call, RefusalReason reason);
   /// By value: the argument may be the very entry that is erased.
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -24,6 +24,50 @@
   return report;
 }
 
+void ExitCalls::LogRefusedOffer(const OfferMessage& offer,
+                                RefusalReason reason) const {
+  if (!MayLog(LogClass::kDecision)) {
+    return;
+  }
+  Log(LogLevel::kInfo, LogEvent::kOfferRefused,
+      {{"call", offer.call_id},
+       {"attempt", offer.attempt},
+       {"from", offer.origin.vm},
+       {"upstream", offer.upstream},
+       {"named", m_named},
+       {"reason", InfoOf(reason).name},
+       {"running", m_admission.running()},
+       {"queued", m_admission.queued()},
+       {"slots", m_admission.limits().slots},
+       {"wait_us", Micros(m_admission.ExpectedWait())},
+       {"objective_us", offer.objective_us},
+       {"left_us", offer.remaining_us},
+       {"slowness", m_slowness}});
+}
+
+void ExitCalls::LogRun(const Call& call,
+                       LogEvent event,
+                       std::string_view reason) const {
+  if (!MayLog(LogClass::kDecision)) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const bool started = call.started_at != TimePoint{};
+  Log(LogLevel::kInfo, event,
+      {{"call", call.offer.call_id},
+       {"attempt", call.offer.attempt},
+       {"from", call.offer.origin.vm},
+       {"upstream", call.offer.upstream},
+       {"reason", reason},
+       {"step", NameOf(call.life.step())},
+       {"held_us", Micros(now - call.received_at)},
+       {"ran_us", started ? Micros(now - call.started_at) : 0},
+       {"running", m_admission.running()},
+       {"queued", m_admission.queued()},
+       {"slots", m_admission.limits().slots},
+       {"slowness", m_slowness}});
+}
+
 std::vector<std::string> ExitCalls::CallIds() const {
   std::vector<std::string> ids;
   std::ranges::transform(
--- a/src/libyuccamast/node/fleet_view.cpp
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -22,7 +22,18 @@
 }  // namespace
 
 FleetStore::FleetStore(const NodeSettings& settings)
-    : m_settings(settings), m_view(std::make_shared<const FleetView>()) {}
+    : m_settings(settings),
+      m_view(std::make_shared<const FleetView>()),
+      m_retry_limit(settings.retry_limit) {}
+
+void FleetStore::SetRetryLimit(const SharedRetryLimit& limit) {
+  const std::lock_guard lock(m_mutex);
+  if (limit == m_retry_limit) {
+    return;
+  }
+  m_retry_limit = limit;
+  Rebuild();
+}
 
 void FleetStore::SetConfig(std::shared_ptr<const Configuration> config) {
   const std::lock_guard lock(m_mutex);
@@ -155,7 +166,7 @@
 }
 
 void FleetStore::LimitRetries(ServiceView& service) const {
-  const SharedRetryLimit& limit = m_settings.retry_limit;
+  const SharedRetryLimit& limit = m_retry_limit;
   if (limit.slack <= 0) {
     return;
   }
--- a/src/libyuccamast/node/fleet_view.h
+++ b/src/libyuccamast/node/fleet_view.h
@@ -77,6 +77,7 @@
 
   void SetConfig(std::shared_ptr<const Configuration> config);
   void SetVms(std::shared_ptr<const VmList> vms);
+  void SetRetryLimit(const SharedRetryLimit& limit);
   void SetLiveness(std::shared_ptr<const LivenessMap> liveness);
 
   /// Marks the view as too old to route by, as after a pause, until cleared.
@@ -112,6 +113,7 @@
   std::shared_ptr<const Configuration> m_config;
   std::shared_ptr<const VmList> m_vms;
   std::shared_ptr<const LivenessMap> m_liveness;
+  SharedRetryLimit m_retry_limit;
   std::atomic<bool> m_old{false};
   std::map<std::string, std::shared_ptr<UpstreamState>> m_states;
   std::map<std::string, std::shared_ptr<RetryBudget>> m_retries;
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -14,6 +14,8 @@
 
 constexpr Duration kDrainCheck = std::chrono::milliseconds(20);
 constexpr Duration kThreadAnswer = std::chrono::milliseconds(500);
+/// The settings file may change without a signal; it is looked at this often.
+constexpr Duration kReloadPeriod = std::chrono::milliseconds(1000);
 constexpr Duration kGoodbye = std::chrono::milliseconds(500);
 
 std::uint64_t NewBootId() {
@@ -30,9 +32,16 @@
       m_started_at(Clock::now()),
       m_budget(m_settings.memory_bytes),
       m_store(m_settings),
-      m_entry{m_settings, m_store, m_metrics, m_budget, m_hooks.at_step},
+      m_entry{m_settings,
+              m_store,
+              m_metrics,
+              m_budget,
+              m_hooks.at_step,
+              std::make_shared<const std::string>(m_settings.service)},
       m_exit_io(1),
       m_signals(m_control_io),
+      m_hangup(m_control_io, SIGHUP),
+      m_reload_timer(m_control_io),
       m_stop_timer(m_control_io),
       m_plane(m_control_io,
               m_settings,
@@ -51,6 +60,7 @@
                                  m_settings.ready_port},
       [this](const std::string& path) { return OnControl(path); });
   ArmSignals();
+  ArmReload();
   Log(LogLevel::kInfo, LogEvent::kNodeStarted,
       {{"version", kVersion},
        {"boot", m_boot_id},
@@ -120,6 +130,47 @@
   });
 }
 
+void Node::ArmReload() {
+  m_hangup.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      Reread(true);
+      m_reload_timer.cancel();
+      ArmReload();
+    }
+  });
+  m_reload_timer.expires_after(kReloadPeriod);
+  m_reload_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Reread(false);
+      m_hangup.cancel();
+      ArmReload();
+    }
+  });
+}
+
+void Node::Reread(bool asked) {
+  const auto read = m_hooks.reread ? m_hooks.reread(asked)
+                                   : decltype(m_hooks.reread(asked))();
+  if (!read) {
+    return;
+  }
+  if (!*read) {
+    Log(LogLevel::kError, LogEvent::kSettingsRefused,
+        {{"detail", read->error().detail}});
+    return;
+  }
+  const NodeSettings& settings = read->value();
+  const auto service = m_entry.service.load();
+  const bool moved = *service != settings.service;
+  if (moved) {
+    m_entry.service.store(
+        std::make_shared<const std::string>(settings.service));
+  }
+  m_store.SetRetryLimit(settings.retry_limit);
+  Log(LogLevel::kInfo, LogEvent::kSettingsReloaded,
+      {{"asked", asked}, {"service", settings.service}, {"moved", moved}});
+}
+
 void Node::BeginStop() {
   m_phase = StopPhase::kAnnouncing;
   m_entry.leaving = true;
@@ -207,6 +258,8 @@
   m_exit_io.stop();
   m_exit_thread.join();
   m_signals.cancel();
+  m_hangup.cancel();
+  m_reload_timer.cancel();
   m_control_io.stop();
 }
 
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -29,6 +29,10 @@
   StepHook at_step;
   /// Answers further pages of the control address; nothing means unknown.
   std::function<std::optional<ControlReply>(const std::string& path)> page;
+  /// Reads the settings again if they have changed since the last call, or if
+  /// `asked` by a signal. Nothing: there is nothing new. Empty: never changes.
+  std::function<std::optional<Result<NodeSettings, SettingsError>>(bool asked)>
+      reread;
   /// Where the facts come from; by default the project's own service.
   SourceFactory open_source = OpenOwnService;
 };
@@ -55,6 +59,8 @@
 
   void StartFaces();
   void ArmSignals();
+  void ArmReload();
+  void Reread(bool asked);
   void BeginStop();
   void BeginDrain();
   void CheckDrained();
@@ -79,6 +85,8 @@
   std::thread m_exit_thread;
   asio::io_context m_control_io;
   asio::signal_set m_signals;
+  asio::signal_set m_hangup;
+  asio::steady_timer m_reload_timer;
   asio::steady_timer m_stop_timer;
   ControlPlane m_plane;
   std::unique_ptr<ControlServer> m_control;
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -43,6 +43,8 @@
 struct SharedRetryLimit {
   double slack = 0;  ///< Second sends allowed at any time; 0: no such bound.
   double share = 0;  ///< Further ones for each first send.
+
+  bool operator==(const SharedRetryLimit&) const = default;
 };
 
 struct NodeSettings {
--- a/src/testnode/main.cpp
+++ b/src/testnode/main.cpp
@@ -103,6 +103,6 @@
     return 2;
   }
   const int code = Serve(argv[3]);
-  std::cerr.flush();
+  yuccamast::CloseLog();
   std::_Exit(code);
 }
--- a/src/yuccamast/cmd_node.cpp
+++ b/src/yuccamast/cmd_node.cpp
@@ -30,28 +30,73 @@
   return 1;
 }
 
-int Serve(const std::string& file) {
+/// Settings as read from their file, with the hooks that follow from them.
+struct Prepared {
+  NodeSettings settings;
+  NodeHooks hooks;
+};
+
+Result<std::string, SettingsError> ReadText(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   std::ostringstream text;
   text << in.rdbuf();
   if (!in) {
-    return RefuseSettings({"cannot read " + file, {}});
+    return SettingsError{"cannot read " + file, {}};
   }
-  auto settings = ParseSettings(text.str());
+  return text.str();
+}
+
+Result<Prepared, SettingsError> Prepare(const std::string& text) {
+  auto settings = ParseSettings(text);
   if (!settings) {
-    return RefuseSettings(settings.error());
+    return settings.error();
   }
-  NodeHooks hooks;
-  if (platform::IsFor(settings.value())) {
-    auto adapted = platform::Adapt(settings.value());
+  Prepared prepared{std::move(settings.value()), {}};
+  if (platform::IsFor(prepared.settings)) {
+    auto adapted = platform::Adapt(prepared.settings);
     if (!adapted) {
-      return RefuseSettings(adapted.error());
+      return adapted.error();
     }
-    hooks = std::move(adapted.value());
+    prepared.hooks = std::move(adapted.value());
+  }
+  return prepared;
+}
+
+/// Reads the file again when it has changed, or when asked.
+std::optional<Result<NodeSettings, SettingsError>>
+Reread(const std::string& file, std::string& last, bool asked) {
+  const auto text = ReadText(file);
+  if (!text) {
+    // Not there for a moment, as while it is replaced: look again later.
+    return std::nullopt;
+  }
+  if (!asked && text.value() == last) {
+    return std::nullopt;
+  }
+  last = text.value();
+  auto prepared = Prepare(last);
+  if (!prepared) {
+    return Result<NodeSettings, SettingsError>(prepared.error());
+  }
+  return Result<NodeSettings, SettingsError>(
+      std::move(prepared.value().settings));
+}
+
+int Serve(const std::string& file) {
+  const auto text = ReadText(file);
+  if (!text) {
+    return RefuseSettings(text.error());
+  }
+  auto prepared = Prepare(text.value());
+  if (!prepared) {
+    return RefuseSettings(prepared.error());
   }
-  SetUpLog(settings.value().log_level, settings.value().vm);
+  auto [settings, hooks] = std::move(prepared.value());
+  hooks.reread = [file, last = std::make_shared<std::string>(text.value())](
+                     bool asked) { return Reread(file, *last, asked); };
+  SetUpLog(settings.log_level, settings.vm);
   try {
-    Node node(std::move(settings.value()), std::move(hooks));
+    Node node(std::move(settings), std::move(hooks));
     return node.Run();
   } catch (const std::exception& error) {
     Log(LogLevel::kError, LogEvent::kInternal, {{"detail", error.what()}});
@@ -74,7 +119,7 @@
   return WithArguments(options, argc, argv, [](const auto& parsed) -> int {
     const int code = Serve(parsed["settings"].template as<std::string>());
     // The threads that read the platform may still be in a blocking call.
-    std::cerr.flush();
+    CloseLog();
     std::_Exit(code);
   });
 }
--- a/src/yuccamast/commands.h
+++ b/src/yuccamast/commands.h
@@ -21,4 +21,7 @@
 /// `yuccamast status IP:PORT`
 int RunStatus(int argc, char** argv);
 
+/// `yuccamast trace ID FILE...`
+int RunTrace(int argc, char** argv);
+
 }  // namespace yuccamast
--- a/src/yuccamast/main.cpp
+++ b/src/yuccamast/main.cpp
@@ -12,6 +12,7 @@
 using yuccamast::RunDump;
 using yuccamast::RunNode;
 using yuccamast::RunStatus;
+using yuccamast::RunTrace;
 
 struct Command {
   std::string_view name;
@@ -19,11 +20,12 @@
   int (*run)(int argc, char** argv);
 };
 
-constexpr std::array<Command, 4> kCommands = {{
+constexpr std::array<Command, 5> kCommands = {{
     {"node", "Run the process beside an upstream.", RunNode},
     {"check", "Merge and check a configuration folder.", RunCheck},
     {"dump", "Print the whole state of a node as JSON.", RunDump},
     {"status", "Print the fleet as one node sees it.", RunStatus},
+    {"trace", "Print the log lines of one call over several nodes.", RunTrace},
 }};
 
 int PrintHelp(std::ostream& out) {
