--- a/src/libyuccamast/admission/admission_test.cpp
+++ b/src/libyuccamast/admission/admission_test.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
+#include <vector>
+
 using namespace yuccamast;  // NOLINT
 using std::chrono::milliseconds;
 
@@ -118,3 +121,144 @@
   cr_expect_not(admission.StartNext(kStart).has_value());
   cr_expect_eq(admission.running(), 0U);
 }
+
+namespace {
+
+AdmissionRequest Aimed(CallTicket ticket,
+                       int objective_ms,
+                       int expected_ms = 50,
+                       int deadline_ms = 1000) {
+  AdmissionRequest request = Call(ticket, deadline_ms);
+  request.objective = kStart + milliseconds(objective_ms);
+  request.expected = milliseconds(expected_ms);
+  return request;
+}
+
+/// One upstream in virtual time: calls of `work` arrive every `gap`, each is to
+/// be done within `objective` of its arrival. Returns how many were.
+struct Crest {
+  Duration gap;
+  Duration work = milliseconds(50);
+  Duration objective = milliseconds(200);
+  Duration deadline = milliseconds(1200);
+  int calls = 1000;
+
+  int InTime(bool aims) {
+    Admission admission({7, 0, 20, milliseconds(100)});
+    std::map<TimePoint, std::vector<CallTicket>> ends;
+    std::map<CallTicket, TimePoint> due;
+    int in_time = 0;
+    const auto start = [&](CallTicket ticket, TimePoint now) {
+      ends[now + work].push_back(ticket);
+    };
+    const auto run_until = [&](TimePoint now) {
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const auto [at, done] = *ends.begin();
+        ends.erase(ends.begin());
+        for (const CallTicket ticket : done) {
+          in_time += at <= due[ticket] ? 1 : 0;
+          admission.Release(ticket, work);
+        }
+        admission.Expire(at);
+        while (const auto next = admission.StartNext(at)) {
+          start(*next, at);
+        }
+      }
+    };
+    for (int i = 0; i < calls; ++i) {
+      const TimePoint now = kStart + i * gap;
+      run_until(now);
+      admission.Expire(now);
+      const auto ticket = static_cast<CallTicket>(i + 1);
+      AdmissionRequest request;
+      request.ticket = ticket;
+      request.deadline = now + deadline;
+      request.idempotent = true;
+      request.expected = work;
+      request.objective = aims ? now + objective : TimePoint{};
+      due[ticket] = now + objective;
+      if (admission.Offer(request, now).verdict == AdmissionVerdict::kStart) {
+        start(ticket, now);
+      }
+    }
+    run_until(kStart + std::chrono::hours(1));
+    return in_time;
+  }
+};
+
+}  // namespace
+
+Test(admission, at_a_crest_the_slots_serve_calls_that_can_be_in_time) {
+  // Seven slots of 50 ms serve a call each 7.1 ms; at 1.5 times that, at most
+  // two thirds can be served, and nearly all of these are to be in time.
+  Crest crest{std::chrono::microseconds(4760)};
+  cr_expect_gt(crest.InTime(true), 620);
+  Crest calm{std::chrono::microseconds(8000)};
+  cr_expect_eq(calm.InTime(true), 1000);
+}
+
+Test(admission, a_queue_longer_than_the_objective_is_not_built) {
+  // With an objective that leaves room for one wait only, the queue of a crest
+  // would make every call late; in time or not at all is better.
+  Crest crest{std::chrono::microseconds(4760)};
+  crest.objective = milliseconds(80);
+  cr_expect_gt(crest.InTime(true), 600);
+}
+
+Test(admission, in_time_goes_before_late_whatever_the_rank) {
+  Admission admission = Full(1);
+  admission.Release(1000, milliseconds(50));
+  admission.Offer(Call(2000), kStart);  // Takes the slot.
+  AdmissionRequest late = Aimed(1, 10);
+  late.nested = true;
+  cr_expect(admission.Offer(late, kStart).verdict == AdmissionVerdict::kQueued);
+  admission.Offer(Aimed(2, 400), kStart);
+  admission.Release(2000, {});
+  cr_expect_eq(*admission.StartNext(kStart), 2U);
+}
+
+Test(admission, nested_first_then_urgent_then_the_nearest_objective) {
+  Admission admission = Full(1);
+  AdmissionRequest nested = Aimed(1, 900);
+  nested.nested = true;
+  nested.urgency = 5;
+  AdmissionRequest urgent = Aimed(2, 800);
+  AdmissionRequest near = Aimed(3, 300);
+  near.urgency = 2;
+  AdmissionRequest far = Aimed(4, 700);
+  far.urgency = 2;
+  for (const auto& request : {far, near, urgent, nested}) {
+    admission.Offer(request, kStart);
+  }
+  CallTicket holder = 1000;
+  for (const CallTicket expected : {1U, 2U, 3U, 4U}) {
+    admission.Release(holder, {});
+    holder = *admission.StartNext(kStart);
+    cr_expect_eq(holder, expected);
+  }
+}
+
+Test(admission, a_late_call_loses_its_place_to_one_in_time) {
+  Admission admission = Full(1);  // Four places in the queue.
+  for (CallTicket ticket = 1; ticket <= 4; ++ticket) {
+    admission.Offer(Aimed(ticket, 10), kStart);
+  }
+  const auto in_time = admission.Offer(Aimed(5, 900), kStart);
+  cr_expect(in_time.verdict == AdmissionVerdict::kQueued);
+  cr_assert(in_time.displaced.has_value());
+  cr_expect_leq(*in_time.displaced, 4U);
+  cr_expect_eq(admission.queued(), 4U);
+  cr_expect_not(admission.Remove(*in_time.displaced));
+}
+
+Test(admission, only_a_few_late_calls_wait) {
+  Admission admission({1, 0, 20, milliseconds(100), 2});
+  admission.Offer(Call(1000), kStart);
+  cr_expect(admission.Offer(Aimed(1, 10), kStart).verdict ==
+            AdmissionVerdict::kQueued);
+  cr_expect(admission.Offer(Aimed(2, 10), kStart).verdict ==
+            AdmissionVerdict::kQueued);
+  const auto third = admission.Offer(Aimed(3, 10), kStart);
+  cr_expect(third.verdict == AdmissionVerdict::kRefused);
+  cr_expect(third.reason == RefusalReason::kQueueFull);
+}
--- /dev/null
+++ b/src/libyuccamast/config/prefix_test.cpp
@@ -0,0 +1,86 @@
+#include <criterion/criterion.h>
+
+#include "yuccamast/config/configuration.h"
+
+using namespace yuccamast;  // NOLINT
+
+namespace {
+
+const char* const kPrefixes = R"({
+  "services": {"ledger": {"health_path": "/health"}, "rounds": {}},
+  "rules": {
+    "all": {"host": "a.example", "prefix": "/", "service": "ledger"},
+    "book": {"host": "a.example", "prefix": "/book/", "service": "ledger"},
+    "deep": {"host": "a.example", "prefix": "/book/van/", "service": "rounds"},
+    "parted": {"host": "b.example", "prefix": "/x/",
+               "split": {"ledger": 90, "rounds": 10}}},
+  "bounds": {"callers": {"max_head_bytes": 4096, "idle_timeout_ms": 9000}}})";
+
+Configuration Merge(const std::string& text) {
+  auto merged = MergeConfiguration({{"10.json", text}}, 1);
+  cr_assert(static_cast<bool>(merged));
+  return std::move(merged.value());
+}
+
+std::string RuleOf(const Configuration& config,
+                   std::string_view host,
+                   std::string_view path) {
+  const Rule* rule = FindPrefixRule(config, host, path);
+  return rule == nullptr ? "" : rule->name;
+}
+
+ConfigFault FaultOf(const std::string& rule) {
+  const auto merged = MergeConfiguration(
+      {{"10.json", R"({"services": {"s": {}}, "rules": {"r": )" + rule + "}}"}},
+      1);
+  cr_assert(!merged);
+  return merged.error().front().fault;
+}
+
+}  // namespace
+
+Test(prefix, the_longest_prefix_of_the_host_decides) {
+  const Configuration config = Merge(kPrefixes);
+  cr_expect_eq(RuleOf(config, "a.example", "/book/van/7"), "deep");
+  cr_expect_eq(RuleOf(config, "a.example", "/book/7"), "book");
+  cr_expect_eq(RuleOf(config, "a.example", "/book"), "all");
+  cr_expect_eq(RuleOf(config, "a.example", "/bookvan/7"), "all");
+  cr_expect_eq(RuleOf(config, "b.example", "/x/"), "parted");
+  cr_expect_eq(RuleOf(config, "b.example", "/y/"), "");
+  cr_expect_eq(RuleOf(config, "c.example", "/book/7"), "");
+}
+
+Test(prefix, the_host_has_no_case_and_its_port_does_not_count) {
+  const Configuration config = Merge(kPrefixes);
+  cr_expect_eq(RuleOf(config, "A.Example:8080", "/book/7"), "book");
+}
+
+Test(prefix, the_path_is_taken_byte_by_byte) {
+  const Configuration config = Merge(kPrefixes);
+  cr_expect_eq(RuleOf(config, "a.example", "/book//7/../%2e"), "book");
+  cr_expect_eq(RuleOf(config, "a.example", "/Book/7"), "all");
+}
+
+Test(prefix, splits_and_bounds_are_read) {
+  const Configuration config = Merge(kPrefixes);
+  cr_assert_eq(config.rules.at("parted").split.size(), 2U);
+  cr_expect_eq(config.rules.at("parted").split[0].weight, 90U);
+  cr_expect_eq(config.callers.max_head_bytes.value(), 4096U);
+  cr_expect_not(config.callers.max_body_bytes.has_value());
+}
+
+Test(prefix, bad_prefix_rules_are_refused) {
+  cr_expect(FaultOf(R"({"host": "h", "prefix": "/x", "service": "s"})") ==
+            ConfigFault::kBadPrefix);
+  cr_expect(FaultOf(R"({"host": "H", "prefix": "/x/", "service": "s"})") ==
+            ConfigFault::kBadPrefix);
+  cr_expect(FaultOf(R"({"prefix": "/x/", "service": "s"})") ==
+            ConfigFault::kBadPrefix);
+  cr_expect(FaultOf(R"({"host": "h", "prefix": "/x/", "split": {"t": 1}})") ==
+            ConfigFault::kDanglingService);
+  cr_expect(FaultOf(R"({"host": "h", "prefix": "/x/", "split": {"s": 0}})") ==
+            ConfigFault::kOutOfRange);
+  cr_expect(FaultOf(R"({"host": "h", "prefix": "/x/", "service": "s"},
+                        "r2": {"host": "h", "prefix": "/x/",
+                               "service": "s"})") == ConfigFault::kOverlap);
+}
--- /dev/null
+++ b/src/libyuccamast/source/list_doubt_test.cpp
@@ -0,0 +1,62 @@
+#include "source/list_doubt.h"
+
+#include <criterion/criterion.h>
+
+using namespace yuccamast;  // NOLINT
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Duration kSettle = milliseconds(2000);
+
+std::shared_ptr<const VmList> ListOf(
+    const std::vector<std::pair<std::string, std::string>>& upstreams) {
+  auto list = std::make_shared<VmList>();
+  for (const auto& [ip, name] : upstreams) {
+    VmRecord vm;
+    vm.id = ip;
+    vm.ip = ip;
+    vm.inner_port = 7000;
+    vm.upstreams = {{name, "ledger", 8080, 9, false, milliseconds(0)}};
+    list->vms.push_back(vm);
+  }
+  return list;
+}
+
+}  // namespace
+
+Test(list_doubt, entries_that_lapsed_with_the_store_stay_until_it_settled) {
+  ListDoubt doubt(kSettle);
+  doubt.OnLost(ListOf({{"10.0.0.1", "i-1"}, {"10.0.0.2", "i-2"}}));
+  doubt.OnRegained(kStart);
+  const auto lapsed = ListOf({{"10.0.0.2", "i-2"}});
+  cr_expect_eq(doubt.Apply(lapsed)->vms.size(), 2U);
+  cr_expect_not(doubt.TakeEnd(kStart + milliseconds(1900)));
+  cr_expect(doubt.TakeEnd(kStart + milliseconds(2000)));
+  cr_expect_eq(doubt.Apply(lapsed)->vms.size(), 1U);
+  cr_expect_not(doubt.TakeEnd(kStart + milliseconds(3000)));
+}
+
+Test(list_doubt, a_place_taken_by_another_upstream_is_not_given_back) {
+  ListDoubt doubt(kSettle);
+  doubt.OnLost(ListOf({{"10.0.0.1", "i-old"}}));
+  const auto list = doubt.Apply(ListOf({{"10.0.0.1", "i-new"}}));
+  cr_assert_eq(list->vms[0].upstreams.size(), 1U);
+  cr_expect_eq(list->vms[0].upstreams[0].name, "i-new");
+}
+
+Test(list_doubt, a_second_outage_within_the_doubt_prolongs_it) {
+  ListDoubt doubt(kSettle);
+  doubt.OnLost(ListOf({{"10.0.0.1", "i-1"}}));
+  doubt.OnRegained(kStart);
+  doubt.OnLost(ListOf({}));
+  cr_expect_not(doubt.TakeEnd(kStart + milliseconds(5000)));
+  cr_expect_eq(doubt.Apply(ListOf({}))->vms.size(), 1U);
+}
+
+Test(list_doubt, without_an_outage_the_list_is_taken_as_it_is) {
+  ListDoubt doubt(kSettle);
+  doubt.OnRegained(kStart);
+  cr_expect_eq(doubt.Apply(ListOf({}))->vms.size(), 0U);
+}
