Count a caller's objective from its first attempt; readers only in larger fleets

Change: what an attempt has left tells how long its caller has waited; fleets of more than 24 nodes read through two readers a data centre, lists are announced like configurations and fetched from the own data centre first.

--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -36,7 +36,11 @@
 
 /// Up to this many members, each node reads a current source itself: the
 /// source bears it, and no node depends on the readers' being alive.
-constexpr std::size_t kSmallFleet = 100;
+constexpr std::size_t kSmallFleet = 24;
+
+/// News that come from another data centre first wait this long for a holder
+/// in the own one, which is cheaper to fetch from.
+constexpr Duration kNearerHolder = std::chrono::milliseconds(150);
 
 /// A request for what a peer holds.
 struct HeldRequest {
@@ -194,6 +198,20 @@
     m_vm_version = vm_list;  // The same list, read again later.
     m_membership.SetVmList(m_vm_version);
   } else if (vm_list > m_vm_version) {
+    FetchList(holder);
+  }
+}
+
+void ControlPlane::FetchList(const MemberRecord& holder) {
+  const TimePoint now = Clock::now();
+  if (holder.data_centre == m_settings.data_centre) {
+    m_far_holder.reset();
+    Fetch(Kind::kVmList, holder);
+  } else if (!m_far_holder) {
+    m_far_holder = holder;
+    m_far_since = now;
+  } else if (now - m_far_since >= kNearerHolder) {
+    m_far_holder.reset();
     Fetch(Kind::kVmList, holder);
   }
 }
@@ -363,6 +381,8 @@
   m_vms = std::make_shared<const VmList>(std::move(list));
   const TimePoint now = Clock::now();
   UseList(now);
+  m_far_holder.reset();
+  m_membership.Announce();
   if (m_listed_at == TimePoint{}) {
     m_listed_at = now;
     m_membership.Join(kJoinPeers + 2, now);
@@ -447,6 +467,11 @@
     PublishLiveness();
   }
   CheckOld(now);
+  if (m_far_holder && now - m_far_since >= kNearerHolder) {
+    const MemberRecord holder = *m_far_holder;
+    m_far_holder.reset();
+    Fetch(Kind::kVmList, holder);
+  }
   if (m_doubt.TakeEnd(now)) {
     UseList(now);
   }
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -77,6 +77,7 @@
   void OnVersions(const MemberRecord& holder,
                   const HeldVersion& config,
                   const HeldVersion& vm_list);
+  void FetchList(const MemberRecord& holder);
   void Fetch(Kind kind, const MemberRecord& holder);
   void OnFetched(Kind kind, const std::string& bytes);
   void OnServiceConfig(const PublishedConfig& config);
@@ -108,6 +109,9 @@
   ListDoubt m_doubt;
   std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
   bool m_fetching[2] = {false, false};
+  /// Another data centre's holder of a newer list, and since when.
+  std::optional<MemberRecord> m_far_holder;
+  TimePoint m_far_since{};
   std::atomic<std::shared_ptr<const HeldState>> m_held;
   std::atomic<bool> m_is_reader{false};
   std::atomic<bool> m_reads_config{false};
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -163,10 +163,19 @@
         std::min<Duration>(allowed, std::chrono::milliseconds(*m_inherited_ms));
   }
   m_deadline = m_begun_at + allowed;
+  SetObjective();
+  return std::nullopt;
+}
+
+void EntryCall::SetObjective() {
+  Duration waited = Duration::zero();
+  if (m_inherited_ms && !m_request.from_own_vm) {
+    waited = m_context.patience.Waited(
+        m_rule->name, std::chrono::milliseconds(*m_inherited_ms), m_begun_at);
+  }
   if (m_rule->objective > std::chrono::milliseconds::zero()) {
-    m_objective = m_begun_at + m_rule->objective;
+    m_objective = m_begun_at + m_rule->objective - waited;
   }
-  return std::nullopt;
 }
 
 void EntryCall::AtStep(CallStep step, std::function<void()> go) {
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -12,6 +12,7 @@
 
 #include "http/caller_connection.h"
 #include "log/log.h"
+#include "node/caller_patience.h"
 #include "node/fleet_view.h"
 #include "node/load_ask.h"
 #include "node/peer_link.h"
@@ -62,6 +63,7 @@
   std::uint64_t calls = 0;    ///< Calls begun, for call ids.
   std::mt19937_64 random;
   std::map<std::string, SplitTurns, std::less<>> turns;  ///< By rule.
+  CallerPatience patience;
   LoadAsker& asker;
   std::function<std::shared_ptr<PeerLink>(const tcp::endpoint&)> link;
   /// Whether the view of the world is too old to route by.
@@ -107,6 +109,7 @@
   const Rule* FindGoverningRule(std::string_view path,
                                 RefusalReason& if_none) const;
   bool ChooseService();
+  void SetObjective();
   std::optional<RefusalReason> Match();
   std::optional<RefusalReason> ReadOwnFields();
   void ArmDeadline();
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -49,6 +49,7 @@
                 0,
                 {},
                 {},
+                {},
                 m_asker,
                 {},
                 {},
