Move a refused call only where the reports promise time; late calls leave slots

Change: after two offers a call refused for load moves only if a candidate's report promises an answer in time; late calls leave two slots.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -43,6 +43,9 @@
   std::uint32_t queue_length = 20;
   Duration queue_limit = std::chrono::milliseconds(100);
   std::uint32_t late_length = 4;  ///< Late calls that may wait.
+  /// Slots that late calls leave free: a call in time is never far away when
+  /// the upstream is busy, and when it is not, these do not matter.
+  std::uint32_t late_spare = 2;
 };
 
 /// What the exit knows of an offered call.
@@ -138,6 +141,7 @@
   using Queue = std::map<QueueKey, Waiting>;
 
   bool HasSlot(WeightClass weight) const;
+  bool HasSlotForLate() const;
   void Occupy(const AdmissionRequest& request, TimePoint now);
   static QueueKey KeyOf(const AdmissionRequest& request);
   Duration WaitBehind(std::size_t ahead) const;
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -23,6 +23,11 @@
          m_running_long + m_limits.short_slots < m_limits.slots;
 }
 
+bool Admission::HasSlotForLate() const {
+  const std::uint32_t spare = std::min(m_limits.late_spare, m_limits.slots / 3);
+  return running() + spare < m_limits.slots;
+}
+
 void Admission::Occupy(const AdmissionRequest& request, TimePoint now) {
   m_running[request.ticket] = {request.weight, now};
   m_running_long += request.weight == WeightClass::kLong ? 1 : 0;
@@ -124,7 +129,9 @@
     return {AdmissionVerdict::kRefused, RefusalReason::kDeadlineNotRun, {}};
   }
   const bool overtakes = !m_queue.empty() && !HasSlot(WeightClass::kLong);
-  if (HasSlot(request.weight) && (m_queue.empty() || overtakes)) {
+  const bool may_start =
+      !IsLate(request, Duration::zero(), now) || HasSlotForLate();
+  if (may_start && HasSlot(request.weight) && (m_queue.empty() || overtakes)) {
     Occupy(request, now);
     return {AdmissionVerdict::kStart, {}, {}};
   }
@@ -183,8 +190,10 @@
   const auto in_time = std::ranges::find_if(m_queue, [&](const auto& item) {
     return fits(item) && !IsLate(item.second.request, Duration::zero(), now);
   });
-  return in_time != m_queue.end() ? in_time
-                                  : std::ranges::find_if(m_queue, fits);
+  if (in_time != m_queue.end() || !HasSlotForLate()) {
+    return in_time;
+  }
+  return std::ranges::find_if(m_queue, fits);
 }
 
 std::optional<CallTicket> Admission::StartNext(TimePoint now) {
--- a/src/libyuccamast/admission/admission_test.cpp
+++ b/src/libyuccamast/admission/admission_test.cpp
@@ -262,3 +262,16 @@
   cr_expect(third.verdict == AdmissionVerdict::kRefused);
   cr_expect(third.reason == RefusalReason::kQueueFull);
 }
+
+Test(admission, late_calls_leave_slots_free_for_those_in_time) {
+  Admission admission({6, 0, 20, milliseconds(100)});
+  for (CallTicket ticket = 1; ticket <= 4; ++ticket) {
+    cr_expect(admission.Offer(Aimed(ticket, 10), kStart).verdict ==
+              AdmissionVerdict::kStart);
+  }
+  cr_expect(admission.Offer(Aimed(5, 10), kStart).verdict ==
+            AdmissionVerdict::kQueued);
+  cr_expect_not(admission.StartNext(kStart).has_value());
+  admission.Release(1, {});
+  cr_expect_eq(*admission.StartNext(kStart), 5U);
+}
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -19,6 +19,9 @@
 /// Longest wait for the answers of asked exits. Beyond a round trip within a
 /// region there is no use in waiting.
 constexpr Duration kAskLimit = std::chrono::milliseconds(8);
+/// Offers that are made whatever the reports say; exits decide by what is true
+/// when an offer arrives.
+constexpr std::size_t kSureOffers = 2;
 /// Shortest remaining time that is worth an offer.
 constexpr Duration kLeastTime = std::chrono::milliseconds(1);
 
@@ -279,11 +282,11 @@
     return;
   }
   if (!member || m_offers >= kMaxOffers) {
-    if (m_fallback) {
-      Deliver(std::move(*m_fallback), Duration::zero());
-      return;
-    }
-    Refuse(if_none);
+    GiveUp(if_none);
+    return;
+  }
+  if (!IsWorthMoving(*member, if_none, now)) {
+    GiveUp(if_none);
     return;
   }
   m_life.MoveTo(CallStep::kChosen);
@@ -294,6 +297,31 @@
   });
 }
 
+void EntryCall::GiveUp(RefusalReason reason) {
+  if (m_fallback) {
+    Deliver(std::move(*m_fallback), Duration::zero());
+    return;
+  }
+  Refuse(reason);
+}
+
+bool EntryCall::IsWorthMoving(std::size_t member,
+                              RefusalReason refused_as,
+                              TimePoint now) const {
+  const bool for_load = refused_as == RefusalReason::kQueueFull ||
+                        refused_as == RefusalReason::kQueueTimeout;
+  if (m_offers < kSureOffers || !for_load || !m_context.settings.asks_load) {
+    return true;
+  }
+  // The others were asked just now: if they are as full, their refusals would
+  // cost a round trip each and tell nothing new.
+  const TimePoint due = m_objective != TimePoint{} ? m_objective : m_deadline;
+  const Candidate& candidate = m_service->candidates[member];
+  return now + candidate.distance +
+             candidate.state->EstimateCost(now, 0, EstimateOptions{}) <
+         due;
+}
+
 Duration EntryCall::ReplyMargin(const Attempt& attempt) const {
   // The exit's word on a passed deadline should arrive before this entry
   // gives up, so the exit is given a round trip less.
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -116,6 +116,11 @@
   void AskAndTry(RefusalReason if_none);
   std::vector<AskTarget> PickToAsk();
   void TryNext(RefusalReason if_none);
+  /// Ends the call with what there is: an upstream's own error, or a refusal.
+  void GiveUp(RefusalReason reason);
+  bool IsWorthMoving(std::size_t member,
+                     RefusalReason refused_as,
+                     TimePoint now) const;
   void Offer(std::size_t member);
   OfferMessage BuildOffer(const Attempt& attempt);
   Duration ReplyMargin(const Attempt& attempt) const;
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -15,7 +15,7 @@
 #include "yuccamast/result.h"
 
 /// \file settings.h
-/// The settings file of one node. docs/OPERATORS.md describes every key.
+/// The settings file of one node. docs/OPERATIONS.md describes every key.
 
 namespace yuccamast {
 
--- a/src/libyuccamast/node/split_test.cpp
+++ b/src/libyuccamast/node/split_test.cpp
@@ -4,7 +4,6 @@
 
 #include <cmath>
 
-
 using namespace yuccamast;  // NOLINT
 
 Test(split, shares_hold_over_short_spans_from_any_phase) {
