Split the entry's, the exit's and the control plane's large files; lint clean

Change: matching, reporting, upstream knowledge and what peers fetch have files of their own; no behaviour is changed.

--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -362,9 +362,9 @@
   for (const auto& [name, rule] : result.rules) {
     const std::string& file = draft.sections["rules"][name].file;
     CheckServiceName(draft, result, "rules", name, rule.service);
-    std::ranges::for_each(rule.split, [&](const SplitPart& part) {
+    for (const SplitPart& part : rule.split) {
       CheckServiceName(draft, result, "rules", name, part.service);
-    });
+    }
     if (!rule.prefix.empty() || !rule.host.empty()) {
       CheckPrefix(draft, name, rule);
     } else if (!ParsePattern(rule.path)) {
--- /dev/null
+++ b/src/libyuccamast/node/control_report.cpp
@@ -0,0 +1,98 @@
+#include <algorithm>
+
+#include "node/control_plane.h"
+
+/// What the control plane tells others: peers that fetch what is held, the
+/// calls' view of who is live, and operators in the dump and the status.
+
+namespace yuccamast {
+
+namespace {
+
+std::int64_t AgeMs(TimePoint then, TimePoint now) {
+  return then == TimePoint{}
+             ? -1
+             : std::chrono::duration_cast<std::chrono::milliseconds>(now - then)
+                   .count();
+}
+
+}  // namespace
+
+void ControlPlane::PublishHeld() {
+  auto held = std::make_shared<HeldState>();
+  const ConfigVersion version = m_keeper.version();
+  held->config = {version.revision, version.digest};
+  held->config_text =
+      WritePublishedConfig({version.revision, m_keeper.files()});
+  held->vm_list = m_vm_version;
+  if (m_vms != nullptr) {
+    VmList list = *m_vms;
+    list.revision = m_vm_version.revision;
+    held->vm_list_text = WriteVmList(list);
+  }
+  m_held.store(std::move(held));
+}
+
+void ControlPlane::PublishLiveness() {
+  auto liveness = std::make_shared<LivenessMap>();
+  for (const auto& [vm, member] : m_membership.members()) {
+    (*liveness)[vm] = {member.state() == MemberState::kGone,
+                       member.record.leaving, member.record.epoch};
+  }
+  m_store.SetLiveness(std::move(liveness));
+}
+
+JsonValue ControlPlane::ConfigToJson() const {
+  const ConfigVersion version = m_keeper.version();
+  const TimePoint now = Clock::now();
+  JsonValue::Array errors;
+  std::ranges::transform(m_keeper.refused_errors(), std::back_inserter(errors),
+                         [](const ConfigError& error) {
+                           return JsonValue::Object{
+                               {"file", error.file},
+                               {"key", error.key},
+                               {"fault", NameOf(error.fault)},
+                               {"detail", error.detail}};
+                         });
+  return JsonValue::Object{
+      {"revision", version.revision},
+      {"digest", version.digest},
+      {"in_force_ms", AgeMs(m_accepted_at, now)},
+      {"refused_revision", m_keeper.refused_version().revision},
+      {"refused_errors", std::move(errors)},
+      {"conflict_seen", m_keeper.conflict_seen()},
+      {"reads_service", m_reads_config.load()},
+      {"service_reachable",
+       m_source.config_reachable && m_source.config_reachable()},
+      {"vm_list_reachable",
+       m_source.vm_list_reachable && m_source.vm_list_reachable()},
+      {"vm_list_revision", m_vm_version.revision}};
+}
+
+JsonValue ControlPlane::MembersToJson() const {
+  const TimePoint now = Clock::now();
+  JsonValue::Array members;
+  const auto add = [&](const MemberRecord& record, std::string_view state,
+                       bool listed, std::int64_t heard_ms) {
+    members.push_back(
+        JsonValue::Object{{"vm", record.vm},
+                          {"ip", record.ip},
+                          {"inner_port", int{record.port}},
+                          {"data_centre", record.data_centre},
+                          {"region", record.region},
+                          {"state", state},
+                          {"leaving", record.leaving},
+                          {"listed", listed},
+                          {"epoch", record.epoch},
+                          {"config_revision", record.config_revision},
+                          {"heard_ms", heard_ms}});
+  };
+  add(m_membership.self(), "self", true, 0);
+  for (const auto& [vm, member] : m_membership.members()) {
+    add(member.record, NameOf(member.state()), member.listed,
+        AgeMs(member.heard_at, now));
+  }
+  return members;
+}
+
+}  // namespace yuccamast
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -28,9 +28,6 @@
 /// A caller's id beyond this length is not used as the id of the call.
 constexpr std::size_t kMaxCallerId = 64;
 
-/// 2^64 over the golden ratio: steps of it spread evenly over the range.
-constexpr std::uint64_t kGoldenStep = 0x9e3779b97f4a7c15U;
-
 /// The first status that says that the server failed.
 constexpr std::uint32_t kFirstServerError = 500;
 
@@ -45,23 +42,6 @@
 
 }  // namespace
 
-const SplitPart& SplitTurns::Next(const std::vector<SplitPart>& parts) {
-  m_next += kGoldenStep;
-  std::uint64_t sum = 0;
-  std::ranges::for_each(parts,
-                        [&](const SplitPart& part) { sum += part.weight; });
-  constexpr unsigned kHalf = 32;
-  std::uint64_t at = ((m_next >> kHalf) * sum) >> kHalf;
-  const auto found = std::ranges::find_if(parts, [&](const SplitPart& part) {
-    if (at < part.weight) {
-      return true;
-    }
-    at -= part.weight;
-    return false;
-  });
-  return found == parts.end() ? parts.back() : *found;
-}
-
 EntryCall::EntryCall(EntryContext& context, CallerRequest request, Done done)
     : m_context(context),
       m_request(std::move(request)),
@@ -83,104 +63,6 @@
          std::to_string(context.calls);
 }
 
-std::optional<RefusalReason> EntryCall::ReadOwnFields() {
-  if (const auto* text = FindField(m_request.fields, kDepthField)) {
-    const auto depth = ParseCount(*text);
-    if (!depth) {
-      return RefusalReason::kBadRequest;
-    }
-    if (*depth >= static_cast<std::int64_t>(m_context.settings.max_depth)) {
-      return RefusalReason::kDepthExceeded;
-    }
-    m_depth = static_cast<std::uint32_t>(*depth);
-  }
-  if (const auto* text = FindField(
-          m_request.fields, m_context.settings.dialect->deadline_field)) {
-    m_inherited_ms = ParseCount(*text);
-    if (!m_inherited_ms) {
-      return RefusalReason::kBadRequest;
-    }
-  }
-  m_below_retry = FindField(m_request.fields, kRetryField) != nullptr;
-  return std::nullopt;
-}
-
-const Rule* EntryCall::FindGoverningRule(std::string_view path,
-                                         RefusalReason& if_none) const {
-  const Configuration& config = *m_view->config;
-  const std::string* host = FindField(m_request.fields, "host");
-  if (host != nullptr) {
-    if (const Rule* rule = FindPrefixRule(config, *host, path)) {
-      return rule;
-    }
-  }
-  if (!CheckPath(path)) {
-    if_none = RefusalReason::kAmbiguousPath;
-    return nullptr;
-  }
-  return FindRule(config, m_request.method, path);
-}
-
-bool EntryCall::ChooseService() {
-  std::string_view name = m_rule->service;
-  if (!m_rule->split.empty()) {
-    const auto turns =
-        m_context.turns.try_emplace(m_rule->name, m_context.random()).first;
-    name = turns->second.Next(m_rule->split).service;
-  }
-  const auto service = m_view->services.find(name);
-  if (service == m_view->services.end()) {
-    return false;
-  }
-  m_service = &service->second;
-  return true;
-}
-
-std::optional<RefusalReason> EntryCall::Match() {
-  const std::string_view target = m_request.target;
-  const std::string_view path = target.substr(0, target.find('?'));
-  if (target.find('#') != std::string_view::npos) {
-    return RefusalReason::kAmbiguousPath;
-  }
-  if (const auto reason = ReadOwnFields()) {
-    return reason;
-  }
-  if (m_context.view_is_old()) {
-    return RefusalReason::kPaused;
-  }
-  m_view = m_context.store.Load();
-  if (m_view->config == nullptr || m_view->vms == nullptr) {
-    return RefusalReason::kNoConfiguration;
-  }
-  RefusalReason if_none = RefusalReason::kNoRule;
-  m_rule = FindGoverningRule(path, if_none);
-  if (m_rule == nullptr) {
-    return if_none;
-  }
-  if (!ChooseService()) {
-    return RefusalReason::kNoUpstream;
-  }
-  Duration allowed = m_rule->deadline;
-  if (m_inherited_ms) {
-    allowed =
-        std::min<Duration>(allowed, std::chrono::milliseconds(*m_inherited_ms));
-  }
-  m_deadline = m_begun_at + allowed;
-  SetObjective();
-  return std::nullopt;
-}
-
-void EntryCall::SetObjective() {
-  Duration waited = Duration::zero();
-  if (m_inherited_ms && !m_request.from_own_vm) {
-    waited = m_context.patience.Waited(
-        m_rule->name, std::chrono::milliseconds(*m_inherited_ms), m_begun_at);
-  }
-  if (m_rule->objective > std::chrono::milliseconds::zero()) {
-    m_objective = m_begun_at + m_rule->objective - waited;
-  }
-}
-
 void EntryCall::AtStep(CallStep step, std::function<void()> go) {
   if (!m_context.at_step) {
     go();
@@ -554,44 +436,6 @@
   Finish();
 }
 
-void EntryCall::LogDecision(LogLevel level,
-                            LogEvent event,
-                            std::string_view reason,
-                            std::string_view outcome) const {
-  if (!MayLog(LogClass::kDecision)) {
-    return;
-  }
-  const TimePoint now = Clock::now();
-  const bool offered = m_offers > 0;
-  const bool known = m_view != nullptr && m_view->config != nullptr;
-  const auto left = m_rule == nullptr ? Duration::zero() : m_deadline - now;
-  const auto millis = [](Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-        .count();
-  };
-  Log(level, event,
-      {{"call", m_id},
-       {"reason", reason},
-       {"outcome", outcome},
-       {"rule", m_rule == nullptr ? "" : m_rule->name},
-       {"target", m_request.target},
-       {"upstream",
-        offered ? m_service->members[m_attempt.member].upstream : ""},
-       {"vm", offered ? m_service->members[m_attempt.member].vm : ""},
-       {"attempt", m_offers},
-       {"arrivals", m_arrivals},
-       {"age_ms", millis(now - m_begun_at)},
-       {"left_ms", millis(left)},
-       {"config", known ? m_view->config->revision : 0},
-       {"list", known && m_view->vms != nullptr ? m_view->vms->revision : 0},
-       {"candidates", m_service == nullptr ? 0 : m_service->candidates.size()},
-       {"report_us",
-        offered && m_attempt.report_age != Duration::max()
-            ? static_cast<std::int64_t>(Micros(m_attempt.report_age))
-            : -1},
-       {"budget", m_service == nullptr ? 0.0 : m_service->retries->tokens()}});
-}
-
 void EntryCall::Deliver(HttpReply reply, Duration at_upstream) {
   const Duration took = Clock::now() - m_begun_at;
   m_context.metrics.Record(Latency::kCall, took);
@@ -649,17 +493,4 @@
   }
 }
 
-JsonValue EntryCall::ToJson(TimePoint now) const {
-  const bool matched = m_rule != nullptr;
-  const std::string upstream =
-      m_offers == 0 ? "" : m_service->members[m_attempt.member].upstream;
-  return JsonValue::Object{{"call", m_id},
-                           {"rule", matched ? m_rule->name : ""},
-                           {"idempotent", matched && m_rule->idempotent},
-                           {"upstream", upstream},
-                           {"step", NameOf(m_life.step())},
-                           {"offers", std::uint64_t{m_offers}},
-                           {"age_us", Micros(now - m_begun_at)}};
-}
-
 }  // namespace yuccamast
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -71,42 +71,6 @@
   }
 }
 
-void ExitCalls::OnDraining(bool draining) {
-  Log(LogLevel::kInfo, LogEvent::kUpstreamDraining, {{"draining", draining}});
-  if (m_on_leaving) {
-    m_on_leaving(leaving());
-  }
-}
-
-void ExitCalls::OnHealthWord(const HealthWord& word,
-                             const std::optional<UpstreamLoad>& load) {
-  if (load) {
-    OnLoad(*load, Clock::now());
-  }
-  if (!word.upstream.empty() && word.upstream != m_named) {
-    Log(LogLevel::kInfo, LogEvent::kUpstreamNamed,
-        {{"upstream", word.upstream}, {"before", m_named}});
-    m_named = word.upstream;
-  }
-}
-
-void ExitCalls::OnLoad(const UpstreamLoad& load, TimePoint now) {
-  m_slowness = load.slowness;
-  m_load_at = now;
-}
-
-bool ExitCalls::IsMine(const std::string& upstream) const {
-  if (m_upstream == nullptr) {
-    return false;
-  }
-  if (!m_settings.upstreams_listed) {
-    return upstream == m_settings.upstream;
-  }
-  // Until the upstream has said its name, it judges by itself whether the
-  // request is meant for it.
-  return m_named.empty() || upstream == m_named;
-}
-
 ExitCalls::~ExitCalls() = default;
 
 void ExitCalls::CheckPause(TimePoint now) {
@@ -148,45 +112,6 @@
   return std::nullopt;
 }
 
-void ExitCalls::RefreshLimits() {
-  const auto view = m_store.Load();
-  if (view == m_limits_from || view->config == nullptr) {
-    return;
-  }
-  m_limits_from = view;
-  std::string service_name;
-  AdmissionLimits limits;
-  if (m_settings.upstreams_listed) {
-    m_listed_leaving = view->local && view->local->leaving;
-    if (!view->local) {
-      return;
-    }
-    service_name = view->local->service;
-    limits.slots = view->local->slots;
-    limits.short_slots = 0;
-  } else {
-    const auto upstream = view->config->upstreams.find(m_settings.upstream);
-    if (upstream == view->config->upstreams.end()) {
-      return;
-    }
-    service_name = upstream->second.service;
-    limits.slots = upstream->second.slots;
-    limits.short_slots = upstream->second.short_slots;
-  }
-  const auto service = view->config->services.find(service_name);
-  if (service == view->config->services.end()) {
-    return;
-  }
-  limits.slots = std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(m_settings.slot_share * limits.slots));
-  limits.queue_length = service->second.queue_length;
-  limits.queue_limit = service->second.queue_limit;
-  m_admission.SetLimits(limits);
-  if (m_watch != nullptr && m_settings.health_path.empty()) {
-    m_watch->SetPath(service->second.health_path);
-  }
-}
-
 void ExitCalls::AtStep(CallStep step,
                        const std::string& target,
                        std::function<void()> go) {
@@ -403,7 +328,10 @@
   m_admission.Release(call->ticket, service);
 }
 
-void ExitCalls::Discard(CallPtr call) {
+void ExitCalls::Discard(const CallPtr& entry) {
+  // The argument may be the very entry that is erased.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
+  const CallPtr call = entry;
   call->deadline_timer.cancel();
   call->life.MoveTo(CallStep::kFinished);
   m_by_key.erase(call->key);
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -102,8 +102,7 @@
   void LogRun(const Call& call, LogEvent event, std::string_view reason) const;
   void AnswerRefusal(const StreamReply& reply, RefusalReason reason) const;
   void RefuseCall(const CallPtr& call, RefusalReason reason);
-  /// By value: the argument may be the very entry that is erased.
-  void Discard(CallPtr call);
+  void Discard(const CallPtr& entry);
   void ReleaseSlot(const CallPtr& call, bool counts);
   void ArmTick();
   void OnTick();
--- /dev/null
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -0,0 +1,86 @@
+#include <algorithm>
+
+#include "log/log.h"
+#include "node/exit_calls.h"
+
+/// What an exit knows of the upstream beside it: which one it is, whether it
+/// leaves, how busy its machine is, and the limits in force for it.
+
+namespace yuccamast {
+
+void ExitCalls::OnDraining(bool draining) {
+  Log(LogLevel::kInfo, LogEvent::kUpstreamDraining, {{"draining", draining}});
+  if (m_on_leaving) {
+    m_on_leaving(leaving());
+  }
+}
+
+void ExitCalls::OnHealthWord(const HealthWord& word,
+                             const std::optional<UpstreamLoad>& load) {
+  if (load) {
+    OnLoad(*load, Clock::now());
+  }
+  if (!word.upstream.empty() && word.upstream != m_named) {
+    Log(LogLevel::kInfo, LogEvent::kUpstreamNamed,
+        {{"upstream", word.upstream}, {"before", m_named}});
+    m_named = word.upstream;
+  }
+}
+
+void ExitCalls::OnLoad(const UpstreamLoad& load, TimePoint now) {
+  m_slowness = load.slowness;
+  m_load_at = now;
+}
+
+bool ExitCalls::IsMine(const std::string& upstream) const {
+  if (m_upstream == nullptr) {
+    return false;
+  }
+  if (!m_settings.upstreams_listed) {
+    return upstream == m_settings.upstream;
+  }
+  // Until the upstream has said its name, it judges by itself whether the
+  // request is meant for it.
+  return m_named.empty() || upstream == m_named;
+}
+
+void ExitCalls::RefreshLimits() {
+  const auto view = m_store.Load();
+  if (view == m_limits_from || view->config == nullptr) {
+    return;
+  }
+  m_limits_from = view;
+  std::string service_name;
+  AdmissionLimits limits;
+  if (m_settings.upstreams_listed) {
+    m_listed_leaving = view->local && view->local->leaving;
+    if (!view->local) {
+      return;
+    }
+    service_name = view->local->service;
+    limits.slots = view->local->slots;
+    limits.short_slots = 0;
+  } else {
+    const auto upstream = view->config->upstreams.find(m_settings.upstream);
+    if (upstream == view->config->upstreams.end()) {
+      return;
+    }
+    service_name = upstream->second.service;
+    limits.slots = upstream->second.slots;
+    limits.short_slots = upstream->second.short_slots;
+  }
+  const auto service = view->config->services.find(service_name);
+  if (service == view->config->services.end()) {
+    return;
+  }
+  limits.slots = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(m_settings.slot_share * limits.slots));
+  limits.queue_length = service->second.queue_length;
+  limits.queue_limit = service->second.queue_limit;
+  m_admission.SetLimits(limits);
+  if (m_watch != nullptr && m_settings.health_path.empty()) {
+    m_watch->SetPath(service->second.health_path);
+  }
+}
+
+}  // namespace yuccamast
