Keep the platform's words in platform/ by a check of the linter

Cause: max_attempts stood in the core's own configuration, and nothing kept the platform's names out.

--- a/etc/lint.sh
+++ b/etc/lint.sh
@@ -43,6 +43,25 @@
   done
 done
 
+# The words of the users' platform stay in platform/ (docs/design/006).
+words='Request-Id|Deadline-Ms|Target-Instance|Not-Executed|Response-Seal'
+words+='|Server-Load|Caller-Service|kv-(key|range|watch)|op/config|servers/'
+words+='|max_attempts|target_latency|route_type|cold_remaining|mod_revision|sidecar'
+for file in $sources; do
+  case $file in
+    platform/* | *_test.cpp) continue ;;
+  esac
+  if grep -nE "(^|[^-[:alnum:]])($words)" "$file"; then
+    echo "$file: names what only platform/ may know"
+    failed=1
+  fi
+  if grep -n '#include "platform/' "$file" | grep -v '^$' &&
+    [ "${file#src/yuccamast/}" = "$file" ]; then
+    echo "$file: only the program may include platform/"
+    failed=1
+  fi
+done
+
 for file in $sources; do
   lines=$(wc -l <"$file")
   if [ "$lines" -gt 500 ]; then
--- a/include/yuccamast/config/configuration.h
+++ b/include/yuccamast/config/configuration.h
@@ -92,7 +92,7 @@
   std::int64_t priority = 0;  ///< The higher one wins before any other rank.
   std::uint32_t urgency = 0;  ///< Rank when room is short; 0 is served first.
   /// Upstreams that one call may be sent to, the first included.
-  std::uint32_t max_attempts = 4;
+  std::uint32_t max_upstreams = 4;
 };
 
 /// Bounds on callers that a configuration may set for all nodes; a field that
--- a/src/libyuccamast/config/describe.cpp
+++ b/src/libyuccamast/config/describe.cpp
@@ -36,7 +36,7 @@
       {"prefix", rule.prefix},
       {"split", std::move(split)},
       {"urgency", rule.urgency},
-      {"max_attempts", rule.max_attempts},
+      {"max_upstreams", rule.max_upstreams},
       {"objective_ms", std::int64_t{rule.objective.count()}},
       {"idempotent", rule.idempotent},
       {"deadline_ms", std::int64_t{rule.deadline.count()}},
--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -237,8 +237,8 @@
   rule.objective = reader.Millis("objective_ms", kObjectiveRangeMs, 0);
   rule.urgency =
       static_cast<std::uint32_t>(reader.Int("urgency", kUrgencyRange, 0));
-  rule.max_attempts = static_cast<std::uint32_t>(
-      reader.Int("max_attempts", kAttemptRange, rule.max_attempts));
+  rule.max_upstreams = static_cast<std::uint32_t>(
+      reader.Int("max_upstreams", kAttemptRange, rule.max_upstreams));
   return rule;
 }
 
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -364,7 +364,7 @@
 }
 
 bool EntryCall::MayArriveAgain() {
-  if (m_arrivals >= m_rule->max_attempts || m_offers >= kMaxOffers) {
+  if (m_arrivals >= m_rule->max_upstreams || m_offers >= kMaxOffers) {
     return false;
   }
   if (!m_service->retries->TryRetry()) {
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -27,7 +27,7 @@
 /// - a refusal with proof of no run may be moved to another upstream, whatever
 ///   the rule says, up to `kMaxOffers` offers in all; if the request had
 ///   reached an upstream, the move draws on the retry budget;
-/// - a call reaches at most the rule's `max_attempts` upstreams;
+/// - a call reaches at most the rule's `max_upstreams` upstreams;
 /// - an unknown outcome ends a non-idempotent call as `unknown`;
 /// - an idempotent call with an unknown outcome or a server error is offered
 ///   again if the retry budget allows and no call above it is a retry.
