Know callers that come back, and estimate waits by what runs

Waits were the mean service by slots, whatever ran. Change: an entry remembers what it turned away and knows a caller that asks for the same again with less time left; a wait is read off the running calls, whose expected ends are known.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -123,7 +123,7 @@
   Duration short_service() const { return m_short_service; }
 
   /// How long an ordinary call offered now would wait for a slot.
-  Duration ExpectedWait() const;
+  Duration ExpectedWait(TimePoint now) const;
 
   /// Age of the short call that has run longest; zero if none runs.
   Duration OldestShort(TimePoint now) const;
@@ -136,6 +136,7 @@
   struct Running {
     WeightClass weight = WeightClass::kShort;
     TimePoint since;
+    Duration expected{};  ///< Time it holds its slot, as far as known.
   };
   /// The order among calls in time; see the file comment.
   struct QueueKey {
@@ -152,7 +153,7 @@
   bool HasSlotForLate() const;
   void Occupy(const AdmissionRequest& request, TimePoint now);
   static QueueKey KeyOf(const AdmissionRequest& request);
-  Duration WaitBehind(std::size_t ahead) const;
+  Duration WaitBehind(std::size_t ahead, TimePoint now) const;
   Duration UsualService(const AdmissionRequest& request) const;
   bool IsHeld(const AdmissionRequest& request, TimePoint now) const;
   bool CanMeetDeadline(const AdmissionRequest& request,
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -10,6 +10,10 @@
 /// One start in this many goes to the call that has waited longest.
 constexpr std::uint32_t kOldestEvery = 4;
 
+/// A run that takes longer than expected is taken to need this part of the
+/// expected time still.
+constexpr int kOverdueShare = 4;
+
 /// Weight of a new sample in the moving average is one over this.
 constexpr int kAverageSpan = 16;
 
@@ -29,7 +33,8 @@
 }
 
 void Admission::Occupy(const AdmissionRequest& request, TimePoint now) {
-  m_running[request.ticket] = {request.weight, now};
+  m_running[request.ticket] = {request.weight, now,
+                               m_machine.Slowed(UsualService(request))};
   m_running_long += request.weight == WeightClass::kLong ? 1 : 0;
 }
 
@@ -44,14 +49,28 @@
                                              : m_short_service;
 }
 
-Duration Admission::WaitBehind(std::size_t ahead) const {
-  return m_short_service * static_cast<std::int64_t>(ahead + 1) /
-         static_cast<std::int64_t>(std::max(m_limits.slots, 1U));
+Duration Admission::WaitBehind(std::size_t ahead, TimePoint now) const {
+  std::vector<Duration> left;
+  left.reserve(std::max<std::size_t>(m_limits.slots, m_running.size()));
+  std::ranges::transform(
+      m_running, std::back_inserter(left), [&](const auto& item) {
+        const Running& run = item.second;
+        return std::max(run.expected - (now - run.since),
+                        run.expected / kOverdueShare);
+      });
+  left.resize(std::max<std::size_t>(m_limits.slots, left.size()));
+  if (left.empty()) {
+    return Duration::zero();
+  }
+  std::ranges::sort(left);
+  // Each slot that comes free serves one, and again a service time later.
+  const auto rounds = static_cast<std::int64_t>(ahead / left.size());
+  return left[ahead % left.size()] + m_short_service * rounds;
 }
 
-Duration Admission::ExpectedWait() const {
+Duration Admission::ExpectedWait(TimePoint now) const {
   const bool room = running() < m_limits.slots && m_queue.empty();
-  return room ? Duration::zero() : WaitBehind(m_queue.size());
+  return room ? Duration::zero() : WaitBehind(m_queue.size(), now);
 }
 
 bool Admission::CanMeetDeadline(const AdmissionRequest& request,
@@ -108,9 +127,9 @@
 AdmissionDecision Admission::Enqueue(const AdmissionRequest& request,
                                      TimePoint now) {
   const QueueKey key = KeyOf(request);
-  const Duration wait = WaitBehind(CountAhead(key, now));
+  const Duration wait = WaitBehind(CountAhead(key, now), now);
   const bool late = IsLate(request, wait, now);
-  const Duration whole_wait = late ? WaitBehind(m_queue.size()) : wait;
+  const Duration whole_wait = late ? WaitBehind(m_queue.size(), now) : wait;
   const AdmissionDecision refused{AdmissionVerdict::kRefused,
                                   RefusalReason::kQueueFull, std::nullopt};
   if (!CanMeetDeadline(request, whole_wait, now) ||
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -443,6 +443,9 @@
     m_context.metrics.Record(Latency::kAdded, took - at_upstream);
   }
   m_life.MoveTo(CallStep::kAnswered);
+  if (reply.status >= kFirstServerError) {
+    RememberCaller();
+  }
   const bool ordinary = reply.status < kFirstServerError && m_offers == 1;
   if (MayLog(ordinary ? LogClass::kSample : LogClass::kDecision)) {
     Log(LogLevel::kInfo, LogEvent::kCallFinished,
@@ -473,6 +476,9 @@
     reason = RefusalReason::kPeerLost;
   }
   m_life.MoveTo(CallStep::kRefused);
+  if (m_rule != nullptr && m_first_asked != TimePoint{}) {
+    RememberCaller();
+  }
   LogDecision(LogLevel::kWarning, LogEvent::kCallRefused, InfoOf(reason).name,
               NameOf(InfoOf(reason).claim));
   const Done done = std::move(m_done);
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -16,6 +16,7 @@
 #include "node/fleet_view.h"
 #include "node/load_ask.h"
 #include "node/peer_link.h"
+#include "node/returning_callers.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/outcome/call_life.h"
@@ -64,6 +65,7 @@
   std::mt19937_64 random;
   std::map<std::string, SplitTurns, std::less<>> turns;  ///< By rule.
   CallerPatience patience;
+  ReturningCallers returning;
   LoadAsker& asker;
   std::function<std::shared_ptr<PeerLink>(const tcp::endpoint&)> link;
   /// Whether the view of the world is too old to route by.
@@ -137,6 +139,8 @@
   static std::string IdOf(EntryContext& context, const CallerRequest& request);
   void Deliver(HttpReply reply, Duration at_upstream);
   void Refuse(RefusalReason reason);
+  /// Notes that the caller may come back. Precondition: a rule was found.
+  void RememberCaller();
   void Finish();
   void LogDecision(LogLevel level,
                    LogEvent event,
@@ -154,6 +158,7 @@
   TimePoint m_begun_at;
   TimePoint m_deadline;
   TimePoint m_objective{};  ///< Never: none.
+  TimePoint m_first_asked{};
   asio::steady_timer m_timer;
   std::vector<std::size_t> m_tried;
   Attempt m_attempt;
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -119,14 +119,31 @@
 }
 
 void EntryCall::SetObjective() {
-  Duration waited = Duration::zero();
+  m_first_asked = m_begun_at;
   if (m_inherited_ms && !m_request.from_own_vm) {
-    waited = m_context.patience.Waited(
-        m_rule->name, std::chrono::milliseconds(*m_inherited_ms), m_begun_at);
+    const Duration left = std::chrono::milliseconds(*m_inherited_ms);
+    const Duration waited =
+        m_context.patience.Waited(m_rule->name, left, m_begun_at);
+    const RequestKey key =
+        KeyOfRequest(m_rule->name, m_request.method, m_request.target);
+    m_first_asked = m_context.returning.FirstAsked(key, left, m_begun_at)
+                        .value_or(m_begun_at - waited);
   }
   if (m_rule->objective > std::chrono::milliseconds::zero()) {
-    m_objective = m_begun_at + m_rule->objective - waited;
+    m_objective = m_first_asked + m_rule->objective;
   }
 }
 
+void EntryCall::RememberCaller() {
+  if (!m_inherited_ms || m_request.from_own_vm) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const Duration left =
+      std::chrono::milliseconds(*m_inherited_ms) - (now - m_begun_at);
+  m_context.returning.OnTurnedAway(
+      KeyOfRequest(m_rule->name, m_request.method, m_request.target),
+      m_first_asked, left, now);
+}
+
 }  // namespace yuccamast
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -50,6 +50,7 @@
                 {},
                 {},
                 {},
+                {},
                 m_asker,
                 {},
                 {},
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -19,7 +19,7 @@
       static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
   report.leaving = leaving();
   report.wait_us =
-      static_cast<std::uint32_t>(Micros(m_admission.ExpectedWait()));
+      static_cast<std::uint32_t>(Micros(m_admission.ExpectedWait(Clock::now())));
   report.slowness = m_speed.percent();
   report.slow_left_us =
       static_cast<std::uint32_t>(Micros(m_speed.At(Clock::now()).slow_left));
@@ -41,7 +41,7 @@
        {"running", m_admission.running()},
        {"queued", m_admission.queued()},
        {"slots", m_admission.limits().slots},
-       {"wait_us", Micros(m_admission.ExpectedWait())},
+       {"wait_us", Micros(m_admission.ExpectedWait(Clock::now()))},
        {"objective_us", offer.objective_us},
        {"left_us", offer.remaining_us},
        {"slowness", m_speed.percent()}});
