Ask the own data centre first, and choose among those asked

Cause: an entry asked four candidates and then chose among four random ones; at 33 upstreams of a service it trusted old reports, and the questions served nothing. Every call asked other data centres, and half of its system calls were questions. Change: two exits of the own data centre are asked first; if one has room at full speed the call goes there, else three others are asked as well; the choice is among those asked.

--- a/include/yuccamast/balance/policy.h
+++ b/include/yuccamast/balance/policy.h
@@ -37,6 +37,10 @@
   double prior_others = 0;  ///< See UpstreamState::EstimateCost.
   std::uint64_t turn = 0;   ///< Grows by one with each call, for round robin.
   EstimateOptions options;
+  /// Indices of candidates that were asked for their load just now. If one of
+  /// them is usable, `kLeastCost` chooses among these only: a guess about
+  /// others is no match for what was just heard.
+  std::span<const std::size_t> asked;
 };
 
 /// Number of candidates that a sampling policy compares.
--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -66,6 +66,10 @@
                         double prior_others,
                         const EstimateOptions& options) const;
 
+  /// Whether a fresh report says that a call would start at once at full
+  /// speed, with a slot to spare for calls that are on their way.
+  bool HasRoom(TimePoint now, const EstimateOptions& options) const;
+
   /// Calls of other nodes in flight by the last report, at least zero.
   double ReportedOthers() const;
 
--- a/src/libyuccamast/balance/balance_test.cpp
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -195,3 +195,47 @@
   }
   cr_expect_lt(fixture.Share(0, 400), 0.05);
 }
+
+Test(balance, chooses_among_those_asked_while_one_of_them_is_usable) {
+  // Among many upstreams a random sample would miss the ones that were asked
+  // and trust old reports of the others.
+  Fixture fixture(33);
+  const std::vector<std::size_t> asked = {3, 30};
+  fixture.Report(3, 9);
+  fixture.Report(30, 2);
+  ChoiceContext context;
+  context.now = fixture.now;
+  context.asked = asked;
+  const RandomHook random = [&] { return fixture.random(); };
+  const std::vector<std::size_t> tried = {30};
+  for (int i = 0; i < 50; ++i) {
+    cr_expect_eq(*Choose(PolicyKind::kLeastCost, fixture.candidates, {},
+                         context, random),
+                 30U);
+    cr_expect_eq(*Choose(PolicyKind::kLeastCost, fixture.candidates, tried,
+                         context, random),
+                 3U);
+  }
+  const std::vector<std::size_t> both = {3, 30};
+  cr_expect(Choose(PolicyKind::kLeastCost, fixture.candidates, both, context,
+                   random)
+                .has_value());
+}
+
+Test(balance, has_room_only_by_a_fresh_word_of_a_free_slot_at_full_speed) {
+  Fixture fixture(1);
+  UpstreamState& state = *fixture.candidates[0].state;
+  const auto has_room = [&](std::uint32_t running, std::uint32_t slowness,
+                            int age_ms) {
+    LoadReport report;
+    report.limit = 7;
+    report.running = running;
+    report.slowness = slowness;
+    state.OnReport(report, fixture.now);
+    return state.HasRoom(fixture.now + milliseconds(age_ms), {});
+  };
+  cr_expect(has_room(5, 100, 5));
+  cr_expect_not(has_room(6, 100, 5));
+  cr_expect_not(has_room(0, 400, 5));
+  cr_expect_not(has_room(0, 100, 50));
+}
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -73,6 +73,25 @@
     return best;
   }
 
+  /// The lowest `cost` of the usable among `indices`; the first of equals.
+  template <typename Cost>
+  std::optional<std::size_t> BestAmong(std::span<const std::size_t> indices,
+                                       Cost cost) const {
+    std::optional<std::size_t> best;
+    auto best_cost = cost(std::size_t{0});
+    for (const std::size_t index : indices) {
+      if (index >= m_candidates.size() || !IsUsable(index)) {
+        continue;
+      }
+      const auto value = cost(index);
+      if (!best || value < best_cost) {
+        best = index;
+        best_cost = value;
+      }
+    }
+    return best;
+  }
+
   Duration Cost(std::size_t index) const {
     const Candidate& candidate = m_candidates[index];
     EstimateOptions options = m_context.options;
@@ -148,8 +167,11 @@
     case PolicyKind::kLeastCost:
       break;
   }
-  return chooser.BestOf(kSampleSize,
-                        [&](std::size_t index) { return chooser.Cost(index); });
+  const auto cost = [&](std::size_t index) { return chooser.Cost(index); };
+  if (const auto asked = chooser.BestAmong(context.asked, cost)) {
+    return asked;
+  }
+  return chooser.BestOf(kSampleSize, cost);
 }
 
 double SamplePrior(std::span<const Candidate> candidates,
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -80,6 +80,18 @@
   return reported || m_leaving.load(kRelaxed);
 }
 
+bool UpstreamState::HasRoom(TimePoint now,
+                            const EstimateOptions& options) const {
+  constexpr std::uint32_t kUsualSpeed = 150;  // Percent; see MachineSpeed.
+  constexpr std::uint32_t kSpareSlots = 1;
+  const std::uint32_t taken = m_reported.load(kRelaxed) +
+                              m_sent_since_report.load(kRelaxed) + kSpareSlots;
+  return ReportAge(now) <= options.fresh_report && !Leaving(now) &&
+         m_slowness.load(kRelaxed) < kUsualSpeed &&
+         m_wait_us.load(kRelaxed) == 0 && taken < m_limit.load(kRelaxed) &&
+         Failures(now, options) == 0.0;
+}
+
 double UpstreamState::ReportedOthers() const {
   const double total = m_reported.load(kRelaxed);
   const double own = m_own_at_report.load(kRelaxed);
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -116,7 +116,10 @@
   std::optional<RefusalReason> ReadOwnFields();
   void ArmDeadline();
   void AskAndTry(RefusalReason if_none);
-  std::vector<AskTarget> PickToAsk();
+  void AskFurther(RefusalReason if_none);
+  void Ask(const std::vector<AskTarget>& targets, std::function<void()> then);
+  std::vector<AskTarget> PickToAsk(bool near_only, std::size_t most);
+  bool AskedHasRoom() const;
   void TryNext(RefusalReason if_none);
   /// Ends the call with what there is: an upstream's own error, or a refusal.
   void GiveUp(RefusalReason reason);
@@ -161,6 +164,7 @@
   TimePoint m_first_asked{};
   asio::steady_timer m_timer;
   std::vector<std::size_t> m_tried;
+  std::vector<std::size_t> m_asked;  ///< Members whose load is freshly known.
   Attempt m_attempt;
   std::size_t m_offers = 0;
   std::uint32_t m_arrivals = 0;  ///< Offers that may have reached an upstream.
