Let only readers follow the store, and hand peers what is in doubt

The list that readers hand on did not hold the entries that are in doubt after an outage, which is why all had to read. A list for peers keeps what is in doubt, and the settled list of a revision counts as newer.

--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -52,12 +52,12 @@
 Duration Admission::WaitBehind(std::size_t ahead, TimePoint now) const {
   std::vector<Duration> left;
   left.reserve(std::max<std::size_t>(m_limits.slots, m_running.size()));
-  std::ranges::transform(
-      m_running, std::back_inserter(left), [&](const auto& item) {
-        const Running& run = item.second;
-        return std::max(run.expected - (now - run.since),
-                        run.expected / kOverdueShare);
-      });
+  std::ranges::transform(m_running, std::back_inserter(left),
+                         [&](const auto& item) {
+                           const Running& run = item.second;
+                           return std::max(run.expected - (now - run.since),
+                                           run.expected / kOverdueShare);
+                         });
   left.resize(std::max<std::size_t>(m_limits.slots, left.size()));
   if (left.empty()) {
     return Duration::zero();
--- a/src/libyuccamast/balance/balance_test.cpp
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -217,9 +217,9 @@
                  3U);
   }
   const std::vector<std::size_t> both = {3, 30};
-  cr_expect(Choose(PolicyKind::kLeastCost, fixture.candidates, both, context,
-                   random)
-                .has_value());
+  cr_expect(
+      Choose(PolicyKind::kLeastCost, fixture.candidates, both, context, random)
+          .has_value());
 }
 
 Test(balance, has_room_only_by_a_fresh_word_of_a_free_slot_at_full_speed) {
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -34,9 +34,9 @@
 /// Upstreams that lapsed with the list's service are listed again within this.
 constexpr Duration kListSettle = std::chrono::milliseconds(2200);
 
-/// Up to this many members, each node reads a current source itself: the
-/// source bears it, and no node depends on the readers' being alive.
-constexpr std::size_t kSmallFleet = 24;
+/// Up to this many members, each node reads a current source itself: that
+/// costs no more than the readers of a larger fleet.
+constexpr std::size_t kSmallFleet = 6;
 
 /// News that come from another data centre first wait this long for a holder
 /// in the own one, which is cheaper to fetch from.
@@ -163,15 +163,14 @@
 }
 
 void ControlPlane::UseList(TimePoint now) {
-  const auto list = m_doubt.Apply(m_vms);
   std::vector<ListedMember> listed;
-  std::ranges::transform(list->vms, std::back_inserter(listed),
+  std::ranges::transform(m_vms->vms, std::back_inserter(listed),
                          [](const VmRecord& vm) {
                            return ListedMember{vm.id, vm.ip, vm.inner_port,
                                                vm.data_centre, vm.region};
                          });
   m_membership.SetListed(listed, now);
-  m_store.SetVms(list);
+  m_store.SetVms(m_vms);
 }
 
 bool ControlPlane::AcceptsFrom(const std::string& ip) const {
@@ -358,7 +357,15 @@
     return;
   }
   m_short_lists = 0;
-  OfferVms(std::move(list));
+  m_service_list = std::make_shared<const VmList>(std::move(list));
+  PublishServiceList();
+}
+
+void ControlPlane::PublishServiceList() {
+  if (m_service_list == nullptr) {
+    return;
+  }
+  OfferVms(m_doubt.ForAll(m_service_list));
 }
 
 void ControlPlane::OfferVms(VmList list) {
@@ -448,7 +455,7 @@
     Fetch(Kind::kVmList, holder);
   }
   if (m_doubt.TakeEnd(now)) {
-    UseList(now);
+    PublishServiceList();
   }
   const bool reader = m_vms != nullptr && IsReader(m_membership);
   m_is_reader = reader;
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -84,6 +84,7 @@
   void OfferConfig(const PublishedConfig& config);
   void OnConfigAccepted();
   void OnServiceVms(VmList list);
+  void PublishServiceList();
   void OfferVms(VmList list);
   bool Joined() const;
   void ArmTick();
@@ -102,7 +103,8 @@
   Membership m_membership;
   ConfigKeeper m_keeper;
   HeldVersion m_vm_version;
-  std::shared_ptr<const VmList> m_vms;
+  std::shared_ptr<const VmList> m_vms;           ///< In use, own or a peer's.
+  std::shared_ptr<const VmList> m_service_list;  ///< As the service last said.
   std::optional<PublishedConfig> m_unjoined_config;
   const SourceFactory m_open_source;
   FleetSource m_source;
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -18,8 +18,8 @@
   report.oldest_short_us =
       static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
   report.leaving = leaving();
-  report.wait_us =
-      static_cast<std::uint32_t>(Micros(m_admission.ExpectedWait(Clock::now())));
+  report.wait_us = static_cast<std::uint32_t>(
+      Micros(m_admission.ExpectedWait(Clock::now())));
   report.slowness = m_speed.percent();
   report.slow_left_us =
       static_cast<std::uint32_t>(Micros(m_speed.At(Clock::now()).slow_left));
--- a/src/libyuccamast/source/list_doubt.cpp
+++ b/src/libyuccamast/source/list_doubt.cpp
@@ -41,6 +41,12 @@
   return true;
 }
 
+VmList ListDoubt::ForAll(const std::shared_ptr<const VmList>& fresh) const {
+  VmList list = *Apply(fresh);
+  list.revision = 2 * list.revision + (in_doubt() ? 0 : 1);
+  return list;
+}
+
 std::shared_ptr<const VmList> ListDoubt::Apply(
     std::shared_ptr<const VmList> fresh) const {
   if (m_held == nullptr) {
--- a/src/libyuccamast/source/list_doubt.h
+++ b/src/libyuccamast/source/list_doubt.h
@@ -30,10 +30,16 @@
   /// The service answers again.
   void OnRegained(TimePoint now);
 
-  /// The list to use instead of `fresh`, which the service, or a peer, gave.
+  /// The list to use instead of `fresh`, which the service gave.
   std::shared_ptr<const VmList> Apply(
       std::shared_ptr<const VmList> fresh) const;
 
+  /// The list to use and to hand to peers instead of `fresh`. Peers that do not
+  /// read the service cannot know of an outage, so it holds what is in doubt.
+  /// Its revision is made anew so that the settled list of one revision of the
+  /// service counts as newer than the doubtful one.
+  VmList ForAll(const std::shared_ptr<const VmList>& fresh) const;
+
   /// Whether the doubt ended since the last call; the owner then applies the
   /// list again.
   bool TakeEnd(TimePoint now);
--- a/src/libyuccamast/source/list_doubt_test.cpp
+++ b/src/libyuccamast/source/list_doubt_test.cpp
@@ -60,3 +60,20 @@
   doubt.OnRegained(kStart);
   cr_expect_eq(doubt.Apply(ListOf({}))->vms.size(), 0U);
 }
+
+Test(list_doubt, peers_are_given_what_is_in_doubt_and_the_settled_list_wins) {
+  ListDoubt doubt(kSettle);
+  doubt.OnLost(ListOf({{"10.0.0.1", "i-1"}, {"10.0.0.2", "i-2"}}));
+  doubt.OnRegained(kStart);
+  auto lapsed = std::make_shared<VmList>(*ListOf({{"10.0.0.2", "i-2"}}));
+  lapsed->revision = 40;
+  const VmList doubtful = doubt.ForAll(lapsed);
+  cr_expect_eq(doubtful.vms.size(), 2U);
+  cr_expect(doubt.TakeEnd(kStart + kSettle));
+  const VmList settled = doubt.ForAll(lapsed);
+  cr_expect_eq(settled.vms.size(), 1U);
+  cr_expect_gt(settled.revision, doubtful.revision);
+  lapsed->revision = 41;
+  doubt.OnLost(ListOf({}));
+  cr_expect_gt(doubt.ForAll(lapsed).revision, settled.revision);
+}
