Parse JSON by RapidJSON; tell a slow upstream by its overdue calls

Cause: at 68 machines of a tenth of a core a configuration of 1,928 more rules was decoded, parsed again and accepted for 116 ms of a whole core, a second and more there, and after a loss of all nodes nothing was served for 3 s. An upstream that turns twelve times slower without its word was known by completed calls only. Change: ParseJson and WriteJson use RapidJSON; the strictness stays. Pace tells how slow an upstream is by recent and running calls against what they usually take, and enters its reported service time and what admission expects.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "yuccamast/admission/machine_speed.h"
+#include "yuccamast/admission/pace.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/config/configuration.h"
 #include "yuccamast/outcome/refusal.h"
@@ -122,6 +123,9 @@
   /// Moving average of the service time of short calls; zero if unknown.
   Duration short_service() const { return m_short_service; }
 
+  /// The calls that hold a slot, against the time that they were expected to.
+  Pace::Running RunningPace(TimePoint now) const;
+
   /// How long an ordinary call offered now would wait for a slot.
   Duration ExpectedWait(TimePoint now) const;
 
--- a/include/yuccamast/admission/work_times.h
+++ b/include/yuccamast/admission/work_times.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -22,24 +23,37 @@
       if (m_average.size() >= kMaxRules) {
         m_average.clear();  // Rules come and go with configurations.
       }
-      m_average.emplace(rule, service);
+      m_average.emplace(rule, Average{service, 1});
+      m_typical = m_typical == Duration::zero() ? service : m_typical;
       return;
     }
-    found->second += (service - found->second) / kSpan;
+    Average& average = found->second;
+    m_typical += (service - m_typical) / kSpan;
+    average.samples = std::min(average.samples + 1, kSpan);
+    average.mean += (service - average.mean) / average.samples;
   }
 
+  /// The average over the calls of all rules; zero if none has ended yet.
+  Duration Typical() const { return m_typical; }
+
   /// The average for `rule`, or zero if none of its calls has ended yet.
   Duration Expected(std::string_view rule) const {
     const auto found = m_average.find(rule);
-    return found == m_average.end() ? Duration::zero() : found->second;
+    return found == m_average.end() ? Duration::zero() : found->second.mean;
   }
 
  private:
-  /// Weight of a new sample is one over this.
-  static constexpr int kSpan = 16;
+  /// Weight of a new sample is one over this at least. Much longer than a
+  /// slow spell of the upstream, which is the concern of `Pace`.
+  static constexpr int kSpan = 64;
   static constexpr std::size_t kMaxRules = 2000;
 
-  std::map<std::string, Duration, std::less<>> m_average;
+  struct Average {
+    Duration mean{};
+    int samples = 0;
+  };
+  std::map<std::string, Average, std::less<>> m_average;
+  Duration m_typical{};
 };
 
 }  // namespace yuccamast
--- a/include/yuccamast/json_value.h
+++ b/include/yuccamast/json_value.h
@@ -11,12 +11,11 @@
 #include "yuccamast/result.h"
 
 /// \file json_value.h
-/// A JSON document as a typed tree, parsed and written by cxxtools.
+/// A JSON document as a typed tree, parsed and written by RapidJSON.
 ///
-/// cxxtools reads JSON leniently: it accepts repeated keys, text behind the
-/// document, misspelt literals and unbounded nesting. `ParseJson` refuses each
-/// of these, since settings and configuration must mean one thing only. Line
-/// comments that start with `//` are allowed, as cxxtools allows them.
+/// `ParseJson` refuses repeated keys, text behind the document, integers that do
+/// not fit and deep nesting, since settings and configuration must mean one
+/// thing only. Comments are allowed.
 
 namespace yuccamast {
 
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -68,6 +68,16 @@
   return left[ahead % left.size()] + m_short_service * rounds;
 }
 
+Pace::Running Admission::RunningPace(TimePoint now) const {
+  Pace::Running running;
+  std::ranges::for_each(m_running, [&](const auto& item) {
+    if (item.second.expected > Duration::zero()) {
+      running.Add(now - item.second.since, item.second.expected);
+    }
+  });
+  return running;
+}
+
 Duration Admission::ExpectedWait(TimePoint now) const {
   const bool room = running() < m_limits.slots && m_queue.empty();
   return room ? Duration::zero() : WaitBehind(m_queue.size(), now);
--- a/src/libyuccamast/json/json_value.cpp
+++ b/src/libyuccamast/json/json_value.cpp
@@ -1,146 +1,165 @@
-// Compiled as C++17: the headers of cxxtools 3.0 use members of
-// std::allocator that C++20 removed.
 #include "yuccamast/json_value.h"
 
-#include <cxxtools/jsondeserializer.h>
-#include <cxxtools/jsonserializer.h>
-#include <cxxtools/serializationinfo.h>
+#include <rapidjson/memorystream.h>
+#include <rapidjson/prettywriter.h>
+#include <rapidjson/reader.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 
 #include <algorithm>
-#include <cctype>
+#include <charconv>
+#include <cmath>
 #include <optional>
-#include <set>
-#include <sstream>
 
 namespace yuccamast {
 
 namespace {
 
-using cxxtools::SerializationInfo;
 using JsonResult = Result<JsonValue, JsonError>;
 
-JsonError Fault(JsonFault fault, std::string detail) {
-  return JsonError{fault, std::move(detail)};
+/// The first key that stands twice in `object`.
+std::optional<std::string> FindRepeatedKey(const JsonValue::Object& object) {
+  std::vector<std::string_view> keys;
+  keys.reserve(object.size());
+  std::ranges::transform(
+      object, std::back_inserter(keys),
+      [](const JsonMember& member) { return std::string_view(member.key); });
+  std::ranges::sort(keys);
+  const auto twice = std::ranges::adjacent_find(keys);
+  return twice == keys.end() ? std::nullopt
+                             : std::optional(std::string(*twice));
 }
 
-/// Depth of brackets outside of strings and comments, before any recursion.
-bool IsTooDeep(std::string_view text) {
-  std::size_t depth = 0;
-  bool in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_string) {
-      if (c == '\\') {
-        ++i;
-      } else if (c == '"') {
-        in_string = false;
-      }
-      continue;
-    }
-    if (c == '"') {
-      in_string = true;
-    } else if (c == '{' || c == '[') {
-      if (++depth > kMaxJsonDepth) {
-        return true;
-      }
-    } else if ((c == '}' || c == ']') && depth > 0) {
-      --depth;
-    }
+/// An integer, or a number with a fraction or an exponent.
+std::optional<JsonValue> ParseNumber(std::string_view text) {
+  const char* const end = text.data() + text.size();
+  if (text.find_first_of(".eE") == std::string_view::npos) {
+    std::int64_t number = 0;
+    const auto read = std::from_chars(text.data(), end, number);
+    return read.ec == std::errc() && read.ptr == end
+               ? std::optional(JsonValue(number))
+               : std::nullopt;
   }
-  return false;
+  double number = 0;
+  const auto read = std::from_chars(text.data(), end, number);
+  return read.ec == std::errc() && read.ptr == end
+             ? std::optional(JsonValue(number))
+             : std::nullopt;
 }
 
-JsonResult Convert(const SerializationInfo& info);
-
-JsonResult ConvertArray(const SerializationInfo& info) {
-  JsonValue::Array array;
-  for (const auto& item : info) {
-    auto value = Convert(item);
-    if (!value) {
-      return value.error();
-    }
-    array.push_back(std::move(value.value()));
+/// Builds the tree from the events of the parser. The names of the methods are
+/// the parser's.
+class TreeBuilder {
+ public:
+  bool Null() { return Add(JsonValue(nullptr)); }
+  bool Bool(bool value) { return Add(JsonValue(value)); }
+  bool RawNumber(const char* text, rapidjson::SizeType size, bool /*copy*/) {
+    auto number = ParseNumber({text, size});
+    return number ? Add(std::move(*number))
+                  : Fail(JsonFault::kSyntax, {text, size});
   }
-  return JsonValue(std::move(array));
-}
-
-JsonResult ConvertObject(const SerializationInfo& info) {
-  JsonValue::Object object;
-  std::set<std::string> keys;
-  for (const auto& member : info) {
-    const bool repeated = !keys.insert(member.name()).second;
-    if (repeated) {
-      return Fault(JsonFault::kDuplicateKey, member.name());
-    }
-    auto value = Convert(member);
-    if (!value) {
-      return value.error();
-    }
-    object.push_back({member.name(), std::move(value.value())});
+  bool String(const char* text, rapidjson::SizeType size, bool /*copy*/) {
+    return Add(JsonValue(std::string(text, size)));
   }
-  return JsonValue(std::move(object));
-}
-
-JsonResult ConvertScalar(const SerializationInfo& info) {
-  const std::string& type = info.typeName();
-  if (type == "null") {
-    return JsonValue(nullptr);
+  bool Key(const char* text, rapidjson::SizeType size, bool /*copy*/) {
+    m_open.back().keys.emplace_back(text, size);
+    return true;
   }
-  if (type == "bool") {
-    bool value = false;
-    info.getValue(value);
-    return JsonValue(value);
+  bool StartObject() { return Open(JsonValue(JsonValue::Object())); }
+  bool StartArray() { return Open(JsonValue(JsonValue::Array())); }
+  bool EndObject(rapidjson::SizeType /*count*/) {
+    if (const auto key = FindRepeatedKey(*m_open.back().value.AsObject())) {
+      return Fail(JsonFault::kDuplicateKey, *key);
+    }
+    return Close();
   }
-  if (type == "int") {
-    long long value = 0;
-    info.getValue(value);
-    return JsonValue(static_cast<std::int64_t>(value));
+  bool EndArray(rapidjson::SizeType /*count*/) { return Close(); }
+
+  // With numbers as text, the parser does not call these.
+  bool Int(int /*value*/) { return false; }
+  bool Uint(unsigned /*value*/) { return false; }
+  bool Int64(std::int64_t /*value*/) { return false; }
+  bool Uint64(std::uint64_t /*value*/) { return false; }
+  bool Double(double /*value*/) { return false; }
+
+  const std::optional<JsonError>& error() const { return m_error; }
+  JsonValue TakeRoot() { return std::move(m_root); }
+
+ private:
+  struct Level {
+    JsonValue value;
+    std::vector<std::string> keys;  ///< The last one waits for its value.
+  };
+
+  bool Fail(JsonFault fault, std::string_view detail) {
+    m_error = JsonError{fault, std::string(detail)};
+    return false;
   }
-  if (type == "double") {
-    double value = 0;
-    info.getValue(value);
-    return JsonValue(value);
+
+  bool Open(JsonValue value) {
+    if (m_open.size() >= kMaxJsonDepth) {
+      return Fail(JsonFault::kTooDeep, "more than 32 levels");
+    }
+    m_open.push_back({std::move(value), {}});
+    return true;
   }
-  if (type == "string") {
-    std::string value;
-    info.getValue(value);
-    return JsonValue(std::move(value));
+
+  bool Close() {
+    JsonValue value = std::move(m_open.back().value);
+    m_open.pop_back();
+    return Add(std::move(value));
   }
-  return Fault(JsonFault::kSyntax, "misspelt literal at key " + info.name());
-}
 
-JsonResult Convert(const SerializationInfo& info) {
-  switch (info.category()) {
-    case SerializationInfo::Object:
-      return ConvertObject(info);
-    case SerializationInfo::Array:
-      return ConvertArray(info);
-    default:
-      return ConvertScalar(info);
+  bool Add(JsonValue value) {
+    if (m_open.empty()) {
+      m_root = std::move(value);
+      return true;
+    }
+    Level& level = m_open.back();
+    if (auto* array = level.value.AsArray()) {
+      array->push_back(std::move(value));
+    } else {
+      level.value.AsObject()->push_back(
+          {std::move(level.keys.back()), std::move(value)});
+      level.keys.pop_back();
+    }
+    return true;
   }
-}
 
-void Fill(SerializationInfo& info, const JsonValue& value) {
+  JsonValue m_root;
+  std::vector<Level> m_open;
+  std::optional<JsonError> m_error;
+};
+
+template <typename Writer>
+void Write(Writer& writer, const JsonValue& value) {
+  const auto size_of = [](const std::string& text) {
+    return static_cast<rapidjson::SizeType>(text.size());
+  };
   if (const auto* object = value.AsObject()) {
-    info.setCategory(SerializationInfo::Object);
-    for (const auto& member : *object) {
-      Fill(info.addMember(member.key), member.value);
+    writer.StartObject();
+    for (const JsonMember& member : *object) {
+      writer.Key(member.key.data(), size_of(member.key));
+      Write(writer, member.value);
     }
+    writer.EndObject();
   } else if (const auto* array = value.AsArray()) {
-    info.setCategory(SerializationInfo::Array);
-    for (const auto& item : *array) {
-      Fill(info.addMember(), item);
+    writer.StartArray();
+    for (const JsonValue& item : *array) {
+      Write(writer, item);
     }
+    writer.EndArray();
   } else if (const auto* text = value.AsString()) {
-    info.setValue(*text);
+    writer.String(text->data(), size_of(*text));
   } else if (const auto* number = value.AsInt()) {
-    info.setValue(static_cast<long long>(*number));
-  } else if (const auto* real = value.AsDouble()) {
-    info.setValue(*real);
+    writer.Int64(*number);
+  } else if (const auto* real = value.AsDouble();
+             real != nullptr && std::isfinite(*real)) {
+    writer.Double(*real);
   } else if (const auto* flag = value.AsBool()) {
-    info.setValue(*flag);
+    writer.Bool(*flag);
   } else {
-    info.setNull();
+    writer.Null();  // JSON has no word for infinity either.
   }
 }
 
@@ -153,9 +172,7 @@
   if (object == nullptr) {
     return nullptr;
   }
-  const auto found =
-      std::find_if(object->begin(), object->end(),
-                   [&](const JsonMember& member) { return member.key == key; });
+  const auto found = std::ranges::find(*object, key, &JsonMember::key);
   return found == object->end() ? nullptr : &found->value;
 }
 
@@ -167,42 +184,47 @@
       return "duplicate_key";
     case JsonFault::kTooDeep:
       return "too_deep";
-    default:
-      return "syntax";
+    case JsonFault::kSyntax:
+      break;
   }
+  return "syntax";
 }
 
 JsonResult ParseJson(std::string_view text) {
-  if (IsTooDeep(text)) {
-    return Fault(JsonFault::kTooDeep, "more than 32 levels");
-  }
-  try {
-    std::istringstream in{std::string(text)};
-    cxxtools::JsonDeserializer deserializer(in);
-    SerializationInfo info;
-    deserializer.deserialize(info);
-    std::string rest(std::istreambuf_iterator<char>(in), {});
-    const bool blank = std::all_of(rest.begin(), rest.end(), [](char c) {
-      return std::isspace(static_cast<unsigned char>(c)) != 0;
-    });
-    if (!blank) {
-      return Fault(JsonFault::kTrailingText, rest.substr(0, 40));
-    }
-    return Convert(info);
-  } catch (const std::exception& error) {
-    return Fault(JsonFault::kSyntax, error.what());
+  constexpr unsigned kFlags =
+      rapidjson::kParseIterativeFlag | rapidjson::kParseCommentsFlag |
+      rapidjson::kParseNumbersAsStringsFlag | rapidjson::kParseStopWhenDoneFlag;
+  rapidjson::MemoryStream in(text.data(), text.size());
+  rapidjson::Reader reader;
+  TreeBuilder builder;
+  const auto parsed = reader.Parse<kFlags>(in, builder);
+  if (builder.error()) {
+    return *builder.error();
+  }
+  if (parsed.IsError()) {
+    return JsonError{JsonFault::kSyntax,
+                     "at byte " + std::to_string(parsed.Offset())};
   }
+  const std::string_view rest = text.substr(in.Tell());
+  if (const auto at = rest.find_first_not_of(" \t\r\n");
+      at != std::string_view::npos) {
+    constexpr std::size_t kShown = 40;
+    return JsonError{JsonFault::kTrailingText,
+                     std::string(rest.substr(at, kShown))};
+  }
+  return builder.TakeRoot();
 }
 
 std::string WriteJson(const JsonValue& value, bool pretty) {
-  SerializationInfo info;
-  Fill(info, value);
-  std::ostringstream out;
-  cxxtools::JsonSerializer serializer(out);
-  serializer.beautify(pretty);
-  serializer.serialize(info);
-  serializer.finish();
-  return out.str();
+  rapidjson::StringBuffer out;
+  if (pretty) {
+    rapidjson::PrettyWriter<rapidjson::StringBuffer> writer(out);
+    Write(writer, value);
+  } else {
+    rapidjson::Writer<rapidjson::StringBuffer> writer(out);
+    Write(writer, value);
+  }
+  return {out.GetString(), out.GetSize()};
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -27,10 +27,14 @@
 /// The first status that says that the server failed.
 constexpr std::uint32_t kFirstErrorStatus = 500;
 
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 /// What a run of `service` would have taken on its machine as it usually is.
 Duration AtUsualSpeed(Duration service, double slowed_by) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(service.count()) / std::max(slowed_by, 1.0)));
+  return Scaled(service, 1.0 / std::max(slowed_by, 1.0));
 }
 /// Lives of peers' processes whose sequence windows are kept.
 constexpr std::size_t kMaxWindows = 8192;
@@ -190,7 +194,8 @@
   }
   request.urgency = call->offer.urgency;
   request.nested = call->offer.nested;
-  request.expected = m_work.Expected(call->offer.rule);
+  request.expected =
+      Scaled(m_work.Expected(call->offer.rule), std::max(1.0, PaceNow(now)));
   const AdmissionDecision decision = m_admission.Offer(request, now);
   if (decision.verdict == AdmissionVerdict::kRefused) {
     LogRefusedOffer(call->offer, decision.reason);
@@ -304,7 +309,9 @@
       OnLoad(*load, now);
     }
     if (whole->status < kFirstErrorStatus) {
-      m_work.Learn(call->offer.rule, AtUsualSpeed(service, call->slowed_by));
+      const Duration usual = AtUsualSpeed(service, call->slowed_by);
+      m_pace.OnEnded(usual, m_work.Expected(call->offer.rule), now);
+      m_work.Learn(call->offer.rule, usual);
     }
     m_metrics.Add(Counter::kRunsFinished);
     m_metrics.Record(Latency::kUpstream, service);
@@ -386,6 +393,9 @@
   }
   const bool first = !call->told;
   if (first) {
+    const TimePoint now = Clock::now();
+    m_pace.OnEnded(AtUsualSpeed(now - call->started_at, call->slowed_by),
+                   m_work.Expected(call->offer.rule), now);
     call->told = true;
     AnswerRefusal(call->reply, IsPlanted(PlantedFault::kFalseClaim)
                                    ? RefusalReason::kDeadlineNotRun
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -122,6 +122,8 @@
   bool IsMine(const std::string& upstream) const;
   void OnLoad(const UpstreamLoad& load, TimePoint now);
   void TellAskers();
+  /// How much longer than usual calls take, their machine's speed apart.
+  double PaceNow(TimePoint now) const;
   void OnHealthWord(const HealthWord& word,
                     const std::optional<UpstreamLoad>& load);
 
@@ -136,6 +138,7 @@
   std::shared_ptr<const FleetView> m_limits_from;
   WorkTimes m_work;
   MachineSpeed m_speed;
+  mutable Pace m_pace;               ///< Fades when it is read.
   std::vector<ReportDone> m_askers;  ///< Wait for a fresh reading.
   boost::asio::steady_timer m_ask_timer;
   std::string m_named;  ///< What the upstream last called itself.
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -13,8 +13,9 @@
   report.running = m_admission.running();
   report.queued = m_admission.queued();
   report.limit = m_admission.limits().slots;
-  report.service_us =
-      static_cast<std::uint32_t>(Micros(m_admission.short_service()));
+  const TimePoint now = Clock::now();
+  report.service_us = static_cast<std::uint32_t>(
+      static_cast<double>(Micros(m_work.Typical())) * PaceNow(now));
   report.oldest_short_us =
       static_cast<std::uint32_t>(Micros(m_admission.OldestShort(Clock::now())));
   report.leaving = leaving();
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -43,6 +43,10 @@
   TellAskers();
 }
 
+double ExitCalls::PaceNow(TimePoint now) const {
+  return m_pace.At(m_admission.RunningPace(now), now);
+}
+
 void ExitCalls::ReportFresh(ReportDone done) {
   const bool can_ask = m_watch != nullptr && m_settings.asks_load && !m_closed;
   const bool fresh = m_speed.ReadingAge(Clock::now()) <= kFreshReading;
