Know a caller that comes back also on the node's own machine

Cause: on the users' machines clients, too, reach their node from its own machine, so no request was looked up among those turned away; 19 of some 5,000 catalogue calls that came back were known, and the others took slots from calls that could still be in time. Change: every attempt that says what it has left is looked up; only the guess by patience leaves out calls from the own machine.

--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -120,14 +120,18 @@
 
 void EntryCall::SetObjective() {
   m_first_asked = m_begun_at;
-  if (m_inherited_ms && !m_request.from_own_vm) {
+  if (m_inherited_ms) {
     const Duration left = std::chrono::milliseconds(*m_inherited_ms);
-    const Duration waited =
-        m_context.patience.Waited(m_rule->name, left, m_begun_at);
     const RequestKey key =
         KeyOfRequest(m_rule->name, m_request.method, m_request.target);
-    m_first_asked = m_context.returning.FirstAsked(key, left, m_begun_at)
-                        .value_or(m_begun_at - waited);
+    if (const auto first =
+            m_context.returning.FirstAsked(key, left, m_begun_at)) {
+      m_first_asked = *first;
+    } else if (!m_request.from_own_vm) {
+      // What a nested call has left is its parent's, and says nothing.
+      m_first_asked -=
+          m_context.patience.Waited(m_rule->name, left, m_begun_at);
+    }
   }
   if (m_rule->objective > std::chrono::milliseconds::zero()) {
     m_objective = m_first_asked + m_rule->objective;
@@ -135,7 +139,7 @@
 }
 
 void EntryCall::RememberCaller() {
-  if (!m_inherited_ms || m_request.from_own_vm) {
+  if (!m_inherited_ms) {
     return;
   }
   const TimePoint now = Clock::now();
