Let a stopping node's exit admit what ends before the stop does

Change: for stop.admit_ms calls that must end before the stop does are admitted; then peers are told that the node leaves.

--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -115,7 +115,8 @@
     m_metrics.Add(Counter::kOffersRepeated);
     return RefusalReason::kStaleOffer;
   }
-  if (leaving()) {
+  const auto end = now + std::chrono::microseconds(offer.remaining_us);
+  if (leaving() || (m_stop_end && end > *m_stop_end)) {
     return RefusalReason::kLeaving;
   }
   if (m_pause.Settling(now)) {
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -65,6 +66,10 @@
     m_on_leaving = std::move(hook);
   }
 
+  /// The node will have stopped by `end`: only calls that must end before it
+  /// are admitted from now on.
+  void AdmitOnlyUntil(TimePoint end) { m_stop_end = end; }
+
   /// The node is stopping: new offers are refused, calls held go on.
   void StartLeaving();
 
@@ -152,6 +157,7 @@
   PauseDetector m_pause;
   std::function<void(bool)> m_on_leaving;
   std::unique_ptr<UpstreamWatch> m_watch;
+  std::optional<TimePoint> m_stop_end;
   bool m_stopping = false;
   bool m_closed = false;
 };
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -174,14 +174,30 @@
 void Node::BeginStop() {
   m_phase = StopPhase::kAnnouncing;
   m_entry.leaving = true;
-  RunOnExit([this] { m_exit->calls().StartLeaving(); });
-  m_plane.SetLeaving(true);
-  m_stop_timer.expires_after(m_settings.stop.announce);
-  m_stop_timer.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      BeginDrain();
-    }
-  });
+  const StopLimits& stop = m_settings.stop;
+  const Duration admit = std::min(stop.admit, stop.announce);
+  const TimePoint end = Clock::now() + stop.announce + stop.drain;
+  RunOnExit([this, end] { m_exit->calls().AdmitOnlyUntil(end); });
+  const auto leave = [this, rest = stop.announce - admit] {
+    RunOnExit([this] { m_exit->calls().StartLeaving(); });
+    m_plane.SetLeaving(true);
+    AfterStopTimer(rest, [this] { BeginDrain(); });
+  };
+  if (admit <= Duration::zero()) {
+    leave();
+  } else {
+    AfterStopTimer(admit, leave);
+  }
+}
+
+void Node::AfterStopTimer(Duration wait, std::function<void()> then) {
+  m_stop_timer.expires_after(wait);
+  m_stop_timer.async_wait(
+      [then = std::move(then)](const boost::system::error_code& error) {
+        if (!error) {
+          then();
+        }
+      });
 }
 
 void Node::BeginDrain() {
@@ -213,12 +229,7 @@
     FinishStop(true);
     return;
   }
-  m_stop_timer.expires_after(kDrainCheck);
-  m_stop_timer.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      CheckDrained();
-    }
-  });
+  AfterStopTimer(kDrainCheck, [this] { CheckDrained(); });
 }
 
 void Node::LogCallsLeft() {
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -62,6 +62,7 @@
   void ArmReload();
   void Reread(bool asked);
   void BeginStop();
+  void AfterStopTimer(Duration wait, std::function<void()> then);
   void BeginDrain();
   void CheckDrained();
   void FinishStop(bool overrun);
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -167,6 +167,7 @@
   ReadGroup(reader, "link", errors,
             [&](ObjectReader& group) { ReadLink(group, settings.link); });
   ReadGroup(reader, "stop", errors, [&](ObjectReader& group) {
+    settings.stop.admit = ReadMillis(group, "admit_ms", settings.stop.admit);
     settings.stop.announce =
         ReadMillis(group, "announce_ms", settings.stop.announce);
     settings.stop.drain = ReadMillis(group, "drain_ms", settings.stop.drain);
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -27,6 +27,9 @@
 
 /// Bounds of a planned stop.
 struct StopLimits {
+  /// The exit still admits calls that end before the stop does; peers are told
+  /// that the node leaves when this is over. At most `announce`.
+  Duration admit{};
   Duration announce = std::chrono::milliseconds(2000);  ///< Still answering.
   Duration drain = std::chrono::seconds(30);  ///< For calls in flight.
 };
--- a/testsuite/promise_test.cpp
+++ b/testsuite/promise_test.cpp
@@ -200,6 +200,22 @@
   cr_expect_eq(verdict.wrong + verdict.double_runs + verdict.missing_runs, 0U);
 }
 
+Test(promise, a_stopping_node_still_serves_what_ends_before_it_does) {
+  FleetSpec spec = Shop(1);
+  spec.settings.push_back({"stop", JsonValue::Object{{"admit_ms", 3000},
+                                                     {"announce_ms", 4000},
+                                                     {"drain_ms", 2000}}});
+  LocalFleet fleet(std::move(spec));
+  cr_assert(fleet.WaitReady());
+  fleet.vm(0).node->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  // The only upstream is beside the node that stops.
+  cr_expect_eq(Order(fleet, "in-time", "sleep_ms=50").status, 200U);
+  cr_expect_eq(Runs(fleet, "in-time"), 1U);
+  cr_expect_eq(fleet.vm(0).node->Wait(std::chrono::seconds(10)).value_or(-1),
+               0);
+}
+
 Test(promise, dump_and_metrics_answer_while_all_slots_are_busy) {
   FleetSpec spec = Shop(1);
   spec.vms[0].slots = 2;
