--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace yuccamast {
 
@@ -56,21 +57,13 @@
   /// The lowest `cost` of all candidates, ties broken by a random start.
   template <typename Cost>
   std::optional<std::size_t> BestOfAll(Cost cost) const {
-    std::optional<std::size_t> best;
-    auto best_cost = cost(std::size_t{0});
-    const std::size_t start = m_random() % m_candidates.size();
-    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
-      const std::size_t index = (start + i) % m_candidates.size();
-      if (!IsUsable(index)) {
-        continue;
-      }
-      const auto value = cost(index);
-      if (!best || value < best_cost) {
-        best = index;
-        best_cost = value;
-      }
-    }
-    return best;
+    std::vector<std::size_t> order(m_candidates.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    const std::size_t start = m_random() % order.size();
+    std::rotate(order.begin(),
+                order.begin() + static_cast<std::ptrdiff_t>(start),
+                order.end());
+    return BestAmong(order, cost);
   }
 
   /// The lowest `cost` of the usable among `indices`; the first of equals.
