Tell nested calls apart by the runs beside the node

Change: the exit notes the ids that run at its upstream in a table of atomics; a call whose id names one of them as its parent is nested, goes first and has no objective of its own.

--- a/src/libyuccamast/http/dialect.h
+++ b/src/libyuccamast/http/dialect.h
@@ -62,6 +62,9 @@
   /// `caller_id` is empty if the request had none.
   std::function<ReplyVerdict(const HttpReply&, const std::string& caller_id)>
       judge;
+  /// The id of the call that the attempt called `id` may be nested in; empty
+  /// if it says none. Without the hook, all calls from the own VM are nested.
+  std::function<std::string_view(std::string_view id)> parent_of;
   std::function<std::optional<UpstreamLoad>(const HttpReply&)> read_load;
   std::function<HealthWord(const HttpReply&)> read_health;
   /// Whether a reply says that its upstream is leaving.
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -188,7 +188,7 @@
                .count());
   }
   offer.urgency = m_rule->urgency;
-  offer.nested = m_request.from_own_vm;
+  offer.nested = m_nested;
   offer.depth = m_depth + 1;
   offer.retry = m_below_retry || m_may_be_second;
   offer.method = m_request.method;
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -17,6 +17,7 @@
 #include "node/load_ask.h"
 #include "node/peer_link.h"
 #include "node/returning_callers.h"
+#include "node/running_ids.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/outcome/call_life.h"
@@ -73,6 +74,7 @@
   const StepHook& at_step;
   /// Service on this VM, as the settings say now.
   std::function<std::string()> service;
+  const RunningIds* running = nullptr;
 };
 
 /// Use from the entry's thread only.
@@ -142,6 +144,8 @@
   static std::string IdOf(EntryContext& context, const CallerRequest& request);
   void Deliver(HttpReply reply, Duration at_upstream);
   void Refuse(RefusalReason reason);
+  /// Whether the call was made by a run of the upstream on this VM.
+  bool IsNested() const;
   /// Notes that the caller may come back. Precondition: a rule was found.
   void RememberCaller();
   void Finish();
@@ -169,6 +173,7 @@
   std::size_t m_offers = 0;
   std::uint32_t m_arrivals = 0;  ///< Offers that may have reached an upstream.
   std::uint32_t m_depth = 0;
+  bool m_nested = false;
   bool m_below_retry = false;    ///< A call above this one is a retry.
   bool m_may_be_second = false;  ///< An earlier offer may have run.
   std::optional<std::int64_t> m_inherited_ms;
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -49,6 +49,7 @@
       return RefusalReason::kBadRequest;
     }
   }
+  m_nested = IsNested();
   m_below_retry = FindField(m_request.fields, kRetryField) != nullptr;
   return std::nullopt;
 }
@@ -133,11 +134,21 @@
           m_context.patience.Waited(m_rule->name, left, m_begun_at);
     }
   }
-  if (m_rule->objective > std::chrono::milliseconds::zero()) {
+  // A nested call is in time while its parent can still wait for it.
+  if (m_rule->objective > std::chrono::milliseconds::zero() && !m_nested) {
     m_objective = m_first_asked + m_rule->objective;
   }
 }
 
+bool EntryCall::IsNested() const {
+  const auto& parent_of = m_context.settings.dialect->parent_of;
+  if (!m_request.from_own_vm || !parent_of) {
+    return m_request.from_own_vm;
+  }
+  const std::string_view parent = parent_of(m_id);
+  return !parent.empty() && m_context.running->Contains(parent);
+}
+
 void EntryCall::RememberCaller() {
   if (!m_inherited_ms) {
     return;
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -62,6 +62,7 @@
   m_context.link = [this](const tcp::endpoint& endpoint) {
     return LinkTo(endpoint);
   };
+  m_context.running = &shared.running;
   m_context.service = [this] { return *m_shared.service.load(); };
   m_context.view_is_old = [this] {
     const TimePoint now = Clock::now();
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -16,6 +16,7 @@
 #include "http/memory_budget.h"
 #include "node/entry_call.h"
 #include "node/peer_link.h"
+#include "node/running_ids.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/membership/pause_detector.h"
 
@@ -40,6 +41,7 @@
   std::atomic<std::shared_ptr<const std::string>> service;
   std::atomic<bool> leaving{false};
   std::atomic<std::size_t> connections{0};
+  RunningIds running{};  ///< At the upstream beside this node.
 };
 
 /// Construct and start on the control thread. `Post` is thread-safe.
--- a/src/libyuccamast/node/exit_call.h
+++ b/src/libyuccamast/node/exit_call.h
@@ -7,6 +7,7 @@
 #include "http/upstream_pool.h"
 #include "link/server.h"
 #include "node/exit_calls.h"
+#include "node/running_ids.h"
 #include "yuccamast/outcome/call_life.h"
 
 /// \file exit_call.h
@@ -35,6 +36,7 @@
   TimePoint started_at;
   TimePoint deadline;
   double slowed_by = 1.0;  ///< Of its machine when the run began.
+  RunningIds::Place running_place = RunningIds::kNowhere;
   bool has_slot = false;
   bool told = false;       ///< The entry has its answer or is gone.
   bool head_seen = false;  ///< The reply's head was read.
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -271,6 +271,9 @@
       return false;
     }
     call->started_at = Clock::now();
+    if (m_running != nullptr) {
+      call->running_place = m_running->Add(call->offer.call_id);
+    }
     call->slowed_by = m_speed.At(call->started_at).factor;
     m_metrics.Add(Counter::kRunsStarted);
     m_metrics.Record(Latency::kQueue, call->started_at - call->received_at);
@@ -352,6 +355,9 @@
   // The argument may be the very entry that is erased.
   // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
   const CallPtr call = entry;
+  if (m_running != nullptr) {
+    m_running->Remove(call->running_place);
+  }
   call->deadline_timer.cancel();
   call->life.MoveTo(CallStep::kFinished);
   m_by_key.erase(call->key);
@@ -359,15 +365,6 @@
   call->run.reset();
 }
 
-void ExitCalls::AnswerRefusal(const StreamReply& reply,
-                              RefusalReason reason) const {
-  AnswerMessage answer;
-  answer.refused = true;
-  answer.reason = static_cast<std::uint8_t>(reason);
-  answer.load = Report();
-  reply.Answer(Pack(answer));
-}
-
 void ExitCalls::RefuseCall(const CallPtr& call, RefusalReason reason) {
   LogRun(*call, LogEvent::kOfferRefused, InfoOf(reason).name);
   call->life.MoveTo(CallStep::kRefused);
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -15,6 +15,7 @@
 #include "link/server.h"
 #include "log/log.h"
 #include "node/fleet_view.h"
+#include "node/running_ids.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/admission/admission.h"
@@ -61,6 +62,9 @@
   /// Lets a test hold calls; set before the first offer.
   void SetStepHook(StepHook hook) { m_at_step = std::move(hook); }
 
+  /// Where the ids of running calls are noted; set before the first offer.
+  void SetRunningIds(RunningIds* running) { m_running = running; }
+
   /// Called when `leaving` changes; set before the first offer.
   void SetLeavingHook(std::function<void(bool leaving)> hook) {
     m_on_leaving = std::move(hook);
@@ -157,6 +161,7 @@
   PauseDetector m_pause;
   std::function<void(bool)> m_on_leaving;
   std::unique_ptr<UpstreamWatch> m_watch;
+  RunningIds* m_running = nullptr;
   std::optional<TimePoint> m_stop_end;
   bool m_stopping = false;
   bool m_closed = false;
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -27,6 +27,15 @@
   return report;
 }
 
+void ExitCalls::AnswerRefusal(const StreamReply& reply,
+                              RefusalReason reason) const {
+  AnswerMessage answer;
+  answer.refused = true;
+  answer.reason = static_cast<std::uint8_t>(reason);
+  answer.load = Report();
+  reply.Answer(Pack(answer));
+}
+
 void ExitCalls::LogRefusedOffer(const OfferMessage& offer,
                                 RefusalReason reason) const {
   if (!MayLog(LogClass::kDecision)) {
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -78,6 +78,7 @@
   m_exit->calls().SetLeavingHook([this](bool leaving) {
     asio::post(m_control_io, [this, leaving] { m_plane.SetLeaving(leaving); });
   });
+  m_exit->calls().SetRunningIds(&m_entry.running);
   m_exit->calls().SetStepHook(m_hooks.at_step);
   m_exit->SetControlHook(
       [this](std::string bytes) { return m_plane.Serve(std::move(bytes)); });
