--- a/include/yuccamast/json_value.h
+++ b/include/yuccamast/json_value.h
@@ -13,8 +13,8 @@
 /// \file json_value.h
 /// A JSON document as a typed tree, parsed and written by RapidJSON.
 ///
-/// `ParseJson` refuses repeated keys, text behind the document, integers that do
-/// not fit and deep nesting, since settings and configuration must mean one
+/// `ParseJson` refuses repeated keys, text behind the document, integers that
+/// do not fit and deep nesting, since settings and configuration must mean one
 /// thing only. Comments are allowed.
 
 namespace yuccamast {
