--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -37,6 +37,7 @@
     "upstream_draining", "upstream_named",       "call_moved",
     "run_cancelled",     "settings_reloaded",    "log_suppressed",
     "log_dropped",       "source_call_failed",   "source_item_refused",
+    "config_read",       "document_fetched",     "document_fetch_failed",
     "internal"};
 
 std::atomic<LogLevel> g_min_level{LogLevel::kWarning};
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -71,6 +71,9 @@
   kLogDropped,
   kSourceCallFailed,
   kSourceItemRefused,
+  kConfigRead,
+  kDocumentFetched,
+  kDocumentFetchFailed,
   kInternal,
 };
 
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -48,6 +48,9 @@
     {"control_messages_sent", "Control messages sent to peers."},
     {"control_messages_received", "Control messages from peers."},
     {"control_messages_refused", "Control messages dropped as invalid."},
+    {"documents_fetched", "Configurations and VM lists received from peers."},
+    {"document_fetch_failures", "Fetches of these that failed."},
+    {"document_bytes_sent", "Bytes of these sent to peers."},
 }};
 
 // Indexed by Latency.
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -54,6 +54,9 @@
   kControlMessagesSent,
   kControlMessagesReceived,
   kControlMessagesRefused,
+  kDocumentsFetched,
+  kDocumentFetchFailures,
+  kDocumentBytesSent,
   kCount,  ///< Number of counters; not a counter.
 };
 
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -39,12 +39,6 @@
 /// unless a peer in the same data centre, which is cheaper, has it before.
 constexpr Duration kLocalHolderWait = std::chrono::milliseconds(150);
 
-/// Asks a peer for one document of its snapshot.
-struct FetchRequest {
-  std::uint8_t kind = 0;  ///< A `DocumentKind`.
-  MSGPACK_DEFINE(kind)
-};
-
 /// Wall clock in milliseconds: a later run of the process has a greater epoch.
 std::uint64_t EpochNow() {
   return static_cast<std::uint64_t>(
@@ -64,12 +58,14 @@
   return self;
 }
 
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 /// Milliseconds since `then`, or -1 if it is unset (the epoch of the clock).
 std::int64_t AgeMs(TimePoint then, TimePoint now) {
-  return then == TimePoint{}
-             ? -1
-             : std::chrono::duration_cast<std::chrono::milliseconds>(now - then)
-                   .count();
+  return then == TimePoint{} ? -1 : ToMilliseconds(now - then);
 }
 
 }  // namespace
@@ -90,6 +86,12 @@
                    MakeMembershipHooks()),
       m_make_source(std::move(make_source)),
       m_vm_list_retention(kVmListRetentionPeriod),
+      m_fetcher(io,
+                settings,
+                metrics,
+                [this](DocumentKind kind, const std::string& bytes) {
+                  OnFetched(kind, bytes);
+                }),
       m_started_at(Clock::now()),
       m_pause_detector(kPauseThreshold, kPauseSettleTime, Clock::now()),
       m_tick_timer(io) {}
@@ -191,7 +193,8 @@
   const ConfigVersion peer_config{config.revision, config.digest};
   if (config.revision > 0 && peer_config > m_config_selector.version() &&
       peer_config != m_config_selector.refused_version()) {
-    Fetch(DocumentKind::kConfig, holder);
+    m_fetcher.OnNewerHeard(DocumentKind::kConfig, Clock::now());
+    m_fetcher.Fetch(DocumentKind::kConfig, holder);
   }
   if (vm_list.revision > m_vm_list_version.revision &&
       vm_list.digest == m_vm_list_version.digest) {
@@ -204,44 +207,19 @@
 
 void ControlPlane::FetchVmList(const MemberRecord& holder) {
   const TimePoint now = Clock::now();
+  m_fetcher.OnNewerHeard(DocumentKind::kVmList, now);
   const bool same_data_centre = holder.data_centre == m_settings.data_centre;
   const bool waited =
       m_remote_holder && now - m_remote_holder_since >= kLocalHolderWait;
   if (same_data_centre || waited) {
     m_remote_holder.reset();
-    Fetch(DocumentKind::kVmList, holder);
+    m_fetcher.Fetch(DocumentKind::kVmList, holder);
   } else if (!m_remote_holder) {
     m_remote_holder = holder;
     m_remote_holder_since = now;
   }
 }
 
-void ControlPlane::Fetch(DocumentKind kind, const MemberRecord& holder) {
-  bool& fetching = m_fetching[static_cast<std::size_t>(kind)];
-  boost::system::error_code parse_error;
-  const auto address = asio::ip::make_address(holder.ip, parse_error);
-  if (fetching || parse_error || m_closed) {
-    return;
-  }
-  fetching = true;
-  auto& link = m_links[{address, holder.port}];
-  if (link == nullptr) {
-    link = std::make_shared<PeerLink>(m_io, tcp::endpoint(address, holder.port),
-                                      m_settings.link, m_metrics);
-  }
-  const FetchRequest request{static_cast<std::uint8_t>(kind)};
-  OfferHooks hooks;
-  hooks.on_answer = [this, kind](StreamOutcome outcome,
-                                 const std::string& bytes) {
-    m_fetching[static_cast<std::size_t>(kind)] = false;
-    if (outcome == StreamOutcome::kAnswered) {
-      OnFetched(kind, bytes);
-    }
-  };
-  link->Send(LinkPath::kControl,
-             AppendMac(m_settings.shared_key, Pack(request)), std::move(hooks));
-}
-
 std::optional<std::string> ControlPlane::HandleFetch(std::string bytes) const {
   const auto request_bytes =
       VerifyAndStripMac(m_settings.shared_key, std::move(bytes));
@@ -258,24 +236,19 @@
           ? snapshot->config_text
           : snapshot->vm_list_text;
   m_metrics.Add(Counter::kControlBytesSent, text.size());
+  m_metrics.Add(Counter::kDocumentBytesSent, text.size());
   return AppendMac(m_settings.shared_key, text);
 }
 
 void ControlPlane::OnFetched(DocumentKind kind, const std::string& bytes) {
-  m_metrics.Add(Counter::kControlBytesReceived, bytes.size());
-  const auto text = VerifyAndStripMac(m_settings.shared_key, bytes);
-  if (!text) {
-    m_metrics.Add(Counter::kControlMessagesRefused);
-    return;
-  }
   if (kind == DocumentKind::kConfig) {
-    const auto config = ParsePublishedConfig(*text);
+    const auto config = ParsePublishedConfig(bytes);
     if (config) {
       SubmitConfig(config.value());
     }
     return;
   }
-  auto list = ParseVmList(*text);
+  auto list = ParseVmList(bytes);
   if (list) {
     SubmitVmList(std::move(list.value()));
   }
@@ -293,7 +266,7 @@
   const bool waited = m_first_vm_list_at != TimePoint{} &&
                       now - m_first_vm_list_at >= kJoinTimeout;
   return (heard_enough || waited) &&
-         !m_fetching[static_cast<std::size_t>(DocumentKind::kConfig)];
+         !m_fetcher.IsFetching(DocumentKind::kConfig);
 }
 
 void ControlPlane::OnSourceConfig(const PublishedConfig& config) {
@@ -305,11 +278,12 @@
 }
 
 void ControlPlane::SubmitConfig(const PublishedConfig& config) {
+  const TimePoint submitted_at = Clock::now();
   const ConfigVerdict verdict =
       m_config_selector.Submit(config.files, config.revision);
   switch (verdict) {
     case ConfigVerdict::kAccepted:
-      OnConfigAccepted();
+      OnConfigAccepted(Clock::now() - submitted_at);
       break;
     case ConfigVerdict::kRefused:
       std::ranges::for_each(m_config_selector.refused_errors(),
@@ -338,7 +312,7 @@
                m_config_selector.refused_version().revision);
 }
 
-void ControlPlane::OnConfigAccepted() {
+void ControlPlane::OnConfigAccepted(Duration check_time) {
   const ConfigVersion version = m_config_selector.version();
   m_config_accepted_at = Clock::now();
   m_config_stale_logged = false;
@@ -348,7 +322,11 @@
   PublishSnapshot();
   m_membership.Announce();
   Log(LogLevel::kInfo, LogEvent::kConfigAccepted,
-      {{"revision", version.revision}, {"digest", version.digest}});
+      {{"revision", version.revision},
+       {"digest", version.digest},
+       {"rules", m_config_selector.in_force()->rules.size()},
+       {"check_ms", ToMilliseconds(check_time)},
+       {"publish_ms", ToMilliseconds(Clock::now() - m_config_accepted_at)}});
   if (m_config_selector.conflict_seen()) {
     Log(LogLevel::kError, LogEvent::kConfigConflict,
         {{"revision", version.revision}});
@@ -442,7 +420,8 @@
   const bool heard_enough =
       m_messages_since_pause >=
       std::min(kJoinPeerCount, m_membership.members().size());
-  const bool fetching = m_fetching[0] || m_fetching[1];
+  const bool fetching = m_fetcher.IsFetching(DocumentKind::kConfig) ||
+                        m_fetcher.IsFetching(DocumentKind::kVmList);
   if ((heard_enough && !fetching) || now - m_stale_since >= kMaxStaleTime) {
     m_view_store.ClearStale();
     m_stale_since = {};
@@ -461,7 +440,7 @@
   if (m_remote_holder && now - m_remote_holder_since >= kLocalHolderWait) {
     const MemberRecord holder = *m_remote_holder;
     m_remote_holder.reset();
-    Fetch(DocumentKind::kVmList, holder);
+    m_fetcher.Fetch(DocumentKind::kVmList, holder);
   }
   if (m_vm_list_retention.EndIfExpired(now)) {
     SubmitSourceVmList();
@@ -493,8 +472,7 @@
   }
   m_tick_timer.cancel();
   m_socket.Close();
-  std::ranges::for_each(m_links,
-                        [](const auto& item) { item.second->Close(); });
+  m_fetcher.Close();
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -3,15 +3,14 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 
+#include "node/document_fetcher.h"
 #include "node/fleet_view.h"
 #include "node/gossip_socket.h"
-#include "node/peer_link.h"
 #include "node/settings.h"
 #include "source/platform_watcher.h"
 #include "source/vm_list_retention.h"
@@ -106,9 +105,6 @@
   JsonValue MembersToJson() const;
 
  private:
-  /// The values are sent to other nodes in requests, so they must not change.
-  enum class DocumentKind : std::uint8_t { kConfig, kVmList };
-
   MembershipHooks MakeMembershipHooks();
   SourceHooks MakeSourceHooks();
   /// Starts to retain entries of the VM list when an outage begins, and starts
@@ -127,13 +123,12 @@
   /// Fetches the VM list from `holder`: now or, if it is in another data
   /// centre, after a wait.
   void FetchVmList(const MemberRecord& holder);
-  /// Requests a document, unless one of this kind is being fetched.
-  void Fetch(DocumentKind kind, const MemberRecord& holder);
   void OnFetched(DocumentKind kind, const std::string& bytes);
   void OnSourceConfig(const PublishedConfig& config);
   /// Applies the configuration if it is newer and valid.
   void SubmitConfig(const PublishedConfig& config);
-  void OnConfigAccepted();
+  /// `check_time`: how long the check of the configuration took.
+  void OnConfigAccepted(Duration check_time);
   void OnSourceVmList(VmList list);
   /// Submits the last list of the source, with the entries that
   /// `VmListRetention` keeps; does nothing before the first list.
@@ -173,8 +168,7 @@
   const SourceFactory m_make_source;
   PlatformSource m_source;
   VmListRetention m_vm_list_retention;
-  std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
-  bool m_fetching[2] = {false, false};  ///< By `DocumentKind`.
+  DocumentFetcher m_fetcher;
   /// Peer in another data centre with a newer VM list, and since when.
   std::optional<MemberRecord> m_remote_holder;
   TimePoint m_remote_holder_since{};
--- /dev/null
+++ b/src/libyuccamast/node/document_fetcher.cpp
@@ -0,0 +1,103 @@
+#include "node/document_fetcher.h"
+
+#include <algorithm>
+
+#include "link/message_mac.h"
+#include "log/log.h"
+
+namespace yuccamast {
+
+namespace {
+
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+std::string_view NameOf(DocumentKind kind) {
+  constexpr std::array<std::string_view, kDocumentKindCount> kNames = {
+      "config", "vm_list"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+DocumentFetcher::DocumentFetcher(boost::asio::io_context& io,
+                                 const NodeSettings& settings,
+                                 Metrics& metrics,
+                                 DocumentHook on_document)
+    : m_io(io),
+      m_settings(settings),
+      m_metrics(metrics),
+      m_on_document(std::move(on_document)) {}
+
+void DocumentFetcher::OnNewerHeard(DocumentKind kind, TimePoint now) {
+  KindState& state = StateOf(kind);
+  if (state.heard_at == TimePoint{}) {
+    state.heard_at = now;
+  }
+}
+
+void DocumentFetcher::Fetch(DocumentKind kind, const MemberRecord& holder) {
+  KindState& state = StateOf(kind);
+  boost::system::error_code parse_error;
+  const auto address = asio::ip::make_address(holder.ip, parse_error);
+  if (state.in_progress || parse_error || m_closed) {
+    return;
+  }
+  state.in_progress = true;
+  state.requested_at = Clock::now();
+  auto& link = m_links[{address, holder.port}];
+  if (link == nullptr) {
+    link = std::make_shared<PeerLink>(m_io, tcp::endpoint(address, holder.port),
+                                      m_settings.link, m_metrics);
+  }
+  const FetchRequest request{static_cast<std::uint8_t>(kind)};
+  OfferHooks hooks;
+  hooks.on_answer = [this, kind, from = holder.vm](StreamOutcome outcome,
+                                                   const std::string& bytes) {
+    OnAnswer(kind, from, outcome, bytes);
+  };
+  link->Send(LinkPath::kControl,
+             AppendMac(m_settings.shared_key, Pack(request)), std::move(hooks));
+}
+
+void DocumentFetcher::OnAnswer(DocumentKind kind,
+                               const std::string& from,
+                               StreamOutcome outcome,
+                               const std::string& bytes) {
+  KindState& state = StateOf(kind);
+  const TimePoint now = Clock::now();
+  state.in_progress = false;
+  const bool answered = outcome == StreamOutcome::kAnswered;
+  Log(answered ? LogLevel::kInfo : LogLevel::kWarning,
+      answered ? LogEvent::kDocumentFetched : LogEvent::kDocumentFetchFailed,
+      {{"kind", NameOf(kind)},
+       {"from", from},
+       {"bytes", bytes.size()},
+       {"heard_ms", state.heard_at == TimePoint{}
+                        ? -1
+                        : ToMilliseconds(state.requested_at - state.heard_at)},
+       {"transfer_ms", ToMilliseconds(now - state.requested_at)}});
+  if (!answered) {
+    m_metrics.Add(Counter::kDocumentFetchFailures);
+    return;
+  }
+  state.heard_at = TimePoint{};
+  m_metrics.Add(Counter::kDocumentsFetched);
+  m_metrics.Add(Counter::kControlBytesReceived, bytes.size());
+  const auto document = VerifyAndStripMac(m_settings.shared_key, bytes);
+  if (!document) {
+    m_metrics.Add(Counter::kControlMessagesRefused);
+    return;
+  }
+  m_on_document(kind, *document);
+}
+
+void DocumentFetcher::Close() {
+  m_closed = true;
+  std::ranges::for_each(m_links,
+                        [](const auto& item) { item.second->Close(); });
+}
+
+}  // namespace yuccamast
--- /dev/null
+++ b/src/libyuccamast/node/document_fetcher.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "node/peer_link.h"
+#include "node/settings.h"
+#include "yuccamast/membership/member.h"
+
+/// \file document_fetcher.h
+/// Fetches documents (configuration, VM list) from peers over inner
+/// connections.
+///
+/// The owner calls `Fetch` with a member that holds a newer document than this
+/// node. At most one fetch of each kind is in progress; meanwhile further
+/// calls for that kind are ignored, since the gossip that caused them is
+/// repeated. The result goes to a hook as the bytes that the peer sent, with
+/// the MAC checked and removed.
+
+namespace yuccamast {
+
+/// Kinds of documents that nodes fetch from each other. The values are sent, so
+/// they must not change.
+enum class DocumentKind : std::uint8_t { kConfig, kVmList };
+
+/// Name of a kind in logs: `config` or `vm_list`.
+std::string_view NameOf(DocumentKind kind);
+
+inline constexpr std::size_t kDocumentKindCount = 2;
+
+/// Asks a peer for a document.
+struct FetchRequest {
+  std::uint8_t kind = 0;  ///< A `DocumentKind`.
+  MSGPACK_DEFINE(kind)
+};
+
+/// Use from the thread of its io_context only.
+class DocumentFetcher {
+ public:
+  /// Receives a document. Called on the fetcher's thread.
+  using DocumentHook =
+      std::function<void(DocumentKind kind, const std::string& bytes)>;
+
+  /// `settings` and `metrics` must outlive the fetcher. Handlers refer to it,
+  /// so the io_context must have stopped before it is destroyed.
+  DocumentFetcher(boost::asio::io_context& io,
+                  const NodeSettings& settings,
+                  Metrics& metrics,
+                  DocumentHook on_document);
+
+  /// Notes that a newer document of this kind than the one held is known to
+  /// exist. The first of these calls since the last document starts the time
+  /// that logs give as `heard_ms`.
+  void OnNewerHeard(DocumentKind kind, TimePoint now);
+
+  /// Requests the document from `holder`, unless a fetch of this kind is in
+  /// progress, the holder's address is malformed, or the fetcher is closed.
+  void Fetch(DocumentKind kind, const MemberRecord& holder);
+
+  /// Whether a fetch of this kind is in progress.
+  bool IsFetching(DocumentKind kind) const { return StateOf(kind).in_progress; }
+
+  /// Closes the connections. Later calls of `Fetch` have no effect.
+  void Close();
+
+ private:
+  struct KindState {
+    bool in_progress = false;
+    TimePoint heard_at{};      ///< Epoch of the clock: nothing newer is known.
+    TimePoint requested_at{};  ///< Of the fetch in progress.
+  };
+
+  KindState& StateOf(DocumentKind kind) {
+    return m_states.at(static_cast<std::size_t>(kind));
+  }
+  const KindState& StateOf(DocumentKind kind) const {
+    return m_states.at(static_cast<std::size_t>(kind));
+  }
+  void OnAnswer(DocumentKind kind,
+                const std::string& from,
+                StreamOutcome outcome,
+                const std::string& bytes);
+
+  boost::asio::io_context& m_io;
+  const NodeSettings& m_settings;
+  Metrics& m_metrics;
+  const DocumentHook m_on_document;
+  std::array<KindState, kDocumentKindCount> m_states;
+  std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
+  bool m_closed = false;
+};
+
+}  // namespace yuccamast
