Send what changed in a document, compressed, instead of all of it

Cause: each node fetched the whole configuration, some 570 KB of JSON quoted in JSON, for each version, and all nodes fetched from the first eight holders at once. On links of 10 Mbit/s the transfers shared the link and ended late together. Class of fault: the cost of a change grows with the whole document times the fleet, not with the change. The VM list had the same fault: 20 KB to each node for each VM that comes or goes.

Change: a request names the document held; the answer is the difference from it, or the whole if the holder has dropped that one, compressed by zstd with the held text as prefix (DocumentStore, document_codec). Configuration and VM list go the same way. The text of the configuration is not written again for each change of the VM list any more.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 JOBS ?= $(shell nproc)
 PACKAGES = cmake g++ make pkg-config clang-format clang-tidy libboost-dev \
   libcriterion-dev libcxxopts-dev libcxxtools-dev libeasyloggingpp-dev \
-  libmsgpack-cxx-dev libnghttp2-dev libssl-dev libxxhash-dev rapidjson-dev \
-  libbenchmark-dev
+  libmsgpack-cxx-dev libnghttp2-dev libssl-dev libxxhash-dev libzstd-dev \
+  rapidjson-dev libbenchmark-dev
 APT = $(if $(filter 0,$(shell id -u)),,sudo )apt-get
 
 .PHONY: help deps build demo test lint embed sanitize bench-latency \
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -5,8 +5,8 @@
 #include <random>
 
 #include "link/message_mac.h"
-#include "link/messages.h"
 #include "log/log.h"
+#include "node/config_document.h"
 #include "yuccamast/membership/reader_rank.h"
 
 namespace yuccamast {
@@ -88,9 +88,10 @@
       m_vm_list_retention(kVmListRetentionPeriod),
       m_fetcher(io,
                 settings,
+                m_documents,
                 metrics,
-                [this](DocumentKind kind, const std::string& bytes) {
-                  OnFetched(kind, bytes);
+                [this](DocumentKind kind, const Document& document) {
+                  OnFetched(kind, document);
                 }),
       m_started_at(Clock::now()),
       m_pause_detector(kPauseThreshold, kPauseSettleTime, Clock::now()),
@@ -199,6 +200,7 @@
   if (vm_list.revision > m_vm_list_version.revision &&
       vm_list.digest == m_vm_list_version.digest) {
     m_vm_list_version = vm_list;  // Same content at a newer revision.
+    m_documents.SetVersion(DocumentKind::kVmList, vm_list);
     m_membership.SetVmListVersion(m_vm_list_version);
   } else if (vm_list > m_vm_list_version) {
     FetchVmList(holder);
@@ -221,35 +223,30 @@
 }
 
 std::optional<std::string> ControlPlane::HandleFetch(std::string bytes) const {
-  const auto request_bytes =
-      VerifyAndStripMac(m_settings.shared_key, std::move(bytes));
   const auto request =
-      request_bytes ? Unpack<FetchRequest>(*request_bytes) : std::nullopt;
-  const auto snapshot = m_served_snapshot.load();
+      VerifyAndStripMac(m_settings.shared_key, std::move(bytes));
+  auto answer = request ? m_documents.Answer(*request) : std::nullopt;
   m_metrics.Add(Counter::kControlMessagesReceived);
-  if (!request || snapshot == nullptr) {
+  if (!answer) {
     m_metrics.Add(Counter::kControlMessagesRefused);
     return std::nullopt;
   }
-  const std::string& text =
-      request->kind == static_cast<std::uint8_t>(DocumentKind::kConfig)
-          ? snapshot->config_text
-          : snapshot->vm_list_text;
-  m_metrics.Add(Counter::kControlBytesSent, text.size());
-  m_metrics.Add(Counter::kDocumentBytesSent, text.size());
-  return AppendMac(m_settings.shared_key, text);
+  m_metrics.Add(Counter::kControlBytesSent, answer->size());
+  m_metrics.Add(Counter::kDocumentBytesSent, answer->size());
+  return AppendMac(m_settings.shared_key, std::move(*answer));
 }
 
-void ControlPlane::OnFetched(DocumentKind kind, const std::string& bytes) {
+void ControlPlane::OnFetched(DocumentKind kind, const Document& document) {
   if (kind == DocumentKind::kConfig) {
-    const auto config = ParsePublishedConfig(bytes);
-    if (config) {
-      SubmitConfig(config.value());
+    const auto files = UnpackConfigFiles(document.text);
+    if (files && DigestOf(*files) == document.version.digest) {
+      SubmitConfig({document.version.revision, *files});
     }
     return;
   }
-  auto list = ParseVmList(bytes);
+  auto list = ParseVmList(document.text);
   if (list) {
+    list.value().revision = document.version.revision;
     SubmitVmList(std::move(list.value()));
   }
 }
@@ -319,7 +316,8 @@
   m_pending_config.reset();
   m_view_store.SetConfig(m_config_selector.in_force());
   m_membership.SetConfigVersion({version.revision, version.digest});
-  PublishSnapshot();
+  m_documents.Publish(DocumentKind::kConfig, {version.revision, version.digest},
+                      PackConfigFiles(m_config_selector.files()));
   m_membership.Announce();
   Log(LogLevel::kInfo, LogEvent::kConfigAccepted,
       {{"revision", version.revision},
@@ -358,8 +356,8 @@
   // are recognised as the same list.
   VmList unversioned = list;
   unversioned.revision = 0;
-  const HeldVersion version{list.revision,
-                            DigestOf({{"vms", WriteVmList(unversioned)}})};
+  std::string text = WriteVmList(unversioned);
+  const HeldVersion version{list.revision, DigestOf({{"vms", text}})};
   if (m_vm_list != nullptr && version <= m_vm_list_version) {
     return;
   }
@@ -368,18 +366,19 @@
   m_vm_list_version = version;
   m_membership.SetVmListVersion(version);
   if (same) {
+    m_documents.SetVersion(DocumentKind::kVmList, version);
     return;
   }
   m_vm_list = std::make_shared<const VmList>(std::move(list));
   const TimePoint now = Clock::now();
   ApplyVmList(now);
+  m_documents.Publish(DocumentKind::kVmList, version, std::move(text));
   m_remote_holder.reset();
   m_membership.Announce();
   if (m_first_vm_list_at == TimePoint{}) {
     m_first_vm_list_at = now;
     m_membership.Join(kJoinPeerCount + 2, now);
   }
-  PublishSnapshot();
   Log(LogLevel::kInfo, LogEvent::kVmListAccepted,
       {{"revision", version.revision}, {"vms", m_vm_list->vms.size()}});
 }
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "node/document_fetcher.h"
+#include "node/document_store.h"
 #include "node/fleet_view.h"
 #include "node/gossip_socket.h"
 #include "node/settings.h"
@@ -53,17 +54,6 @@
 
 namespace yuccamast {
 
-/// The documents that peers may fetch, with their versions. Immutable once
-/// published.
-struct ServedSnapshot {
-  HeldVersion config;
-  /// JSON, see `ParsePublishedConfig`; revision 0 without files: no
-  /// configuration yet.
-  std::string config_text;
-  HeldVersion vm_list;
-  std::string vm_list_text;  ///< JSON, see `ParseVmList`; empty: no list yet.
-};
-
 /// See the file comment. Use from the thread of its io_context, except for
 /// `HandleFetch`. `Start` and the constructor may run before that thread does.
 class ControlPlane {
@@ -89,9 +79,9 @@
   void Close();
 
   /// Handles a peer's request for a document. `bytes` is a packed request with
-  /// its MAC. Returns the document (see `ServedSnapshot` for one that the node
-  /// does not hold yet) with a MAC, or nothing if the request is malformed or
-  /// not authentic, or while the node holds no document at all. Thread-safe.
+  /// its MAC. Returns the document with a MAC, or nothing if the request is
+  /// malformed or not authentic, or while the node does not hold the document.
+  /// Thread-safe.
   std::optional<std::string> HandleFetch(std::string bytes) const;
 
   /// Whether a configuration is in force.
@@ -123,7 +113,7 @@
   /// Fetches the VM list from `holder`: now or, if it is in another data
   /// centre, after a wait.
   void FetchVmList(const MemberRecord& holder);
-  void OnFetched(DocumentKind kind, const std::string& bytes);
+  void OnFetched(DocumentKind kind, const Document& document);
   void OnSourceConfig(const PublishedConfig& config);
   /// Applies the configuration if it is newer and valid.
   void SubmitConfig(const PublishedConfig& config);
@@ -146,8 +136,6 @@
   /// Ends the stale mark once the node has heard from peers and its fetches are
   /// over, or after a time limit.
   void UpdateStaleness(TimePoint now);
-  /// Replaces the documents for peers by the present ones.
-  void PublishSnapshot();
   /// Passes the members' states on to the view.
   void PublishLiveness();
 
@@ -168,11 +156,11 @@
   const SourceFactory m_make_source;
   PlatformSource m_source;
   VmListRetention m_vm_list_retention;
+  DocumentStore m_documents;
   DocumentFetcher m_fetcher;
   /// Peer in another data centre with a newer VM list, and since when.
   std::optional<MemberRecord> m_remote_holder;
   TimePoint m_remote_holder_since{};
-  std::atomic<std::shared_ptr<const ServedSnapshot>> m_served_snapshot;
   /// The next four are read by the hooks of the source, on any thread.
   std::atomic<bool> m_is_reader{false};
   std::atomic<bool> m_reads_config{false};
--- a/src/libyuccamast/node/control_report.cpp
+++ b/src/libyuccamast/node/control_report.cpp
@@ -3,8 +3,8 @@
 #include "node/control_plane.h"
 
 /// \file control_report.cpp
-/// What `ControlPlane` publishes: documents for peers, the members' liveness
-/// for the view, and JSON for the control dump and the status page.
+/// What `ControlPlane` publishes: the members' liveness for the view, and JSON
+/// for the control dump and the status page.
 
 namespace yuccamast {
 
@@ -20,21 +20,6 @@
 
 }  // namespace
 
-void ControlPlane::PublishSnapshot() {
-  auto snapshot = std::make_shared<ServedSnapshot>();
-  const ConfigVersion version = m_config_selector.version();
-  snapshot->config = {version.revision, version.digest};
-  snapshot->config_text =
-      WritePublishedConfig({version.revision, m_config_selector.files()});
-  snapshot->vm_list = m_vm_list_version;
-  if (m_vm_list != nullptr) {
-    VmList list = *m_vm_list;
-    list.revision = m_vm_list_version.revision;
-    snapshot->vm_list_text = WriteVmList(list);
-  }
-  m_served_snapshot.store(std::move(snapshot));
-}
-
 void ControlPlane::PublishLiveness() {
   auto liveness = std::make_shared<LivenessMap>();
   for (const auto& [vm, member] : m_membership.members()) {
--- a/src/libyuccamast/node/document_fetcher.cpp
+++ b/src/libyuccamast/node/document_fetcher.cpp
@@ -16,18 +16,14 @@
 
 }  // namespace
 
-std::string_view NameOf(DocumentKind kind) {
-  constexpr std::array<std::string_view, kDocumentKindCount> kNames = {
-      "config", "vm_list"};
-  return kNames.at(static_cast<std::size_t>(kind));
-}
-
 DocumentFetcher::DocumentFetcher(boost::asio::io_context& io,
                                  const NodeSettings& settings,
+                                 const DocumentStore& documents,
                                  Metrics& metrics,
                                  DocumentHook on_document)
     : m_io(io),
       m_settings(settings),
+      m_documents(documents),
       m_metrics(metrics),
       m_on_document(std::move(on_document)) {}
 
@@ -52,7 +48,9 @@
     link = std::make_shared<PeerLink>(m_io, tcp::endpoint(address, holder.port),
                                       m_settings.link, m_metrics);
   }
-  const FetchRequest request{static_cast<std::uint8_t>(kind)};
+  const FetchRequest request{
+      static_cast<std::uint8_t>(kind), kDocumentProtocol,
+      state.wants_whole ? "" : m_documents.HeldDigest(kind)};
   OfferHooks hooks;
   hooks.on_answer = [this, kind, from = holder.vm](StreamOutcome outcome,
                                                    const std::string& bytes) {
@@ -86,12 +84,14 @@
   state.heard_at = TimePoint{};
   m_metrics.Add(Counter::kDocumentsFetched);
   m_metrics.Add(Counter::kControlBytesReceived, bytes.size());
-  const auto document = VerifyAndStripMac(m_settings.shared_key, bytes);
+  const auto answer = VerifyAndStripMac(m_settings.shared_key, bytes);
+  auto document = answer ? m_documents.Decode(kind, *answer) : std::nullopt;
+  state.wants_whole = !document;
   if (!document) {
     m_metrics.Add(Counter::kControlMessagesRefused);
     return;
   }
-  m_on_document(kind, *document);
+  m_on_document(kind, std::move(*document));
 }
 
 void DocumentFetcher::Close() {
--- a/src/libyuccamast/node/document_fetcher.h
+++ b/src/libyuccamast/node/document_fetcher.h
@@ -7,8 +7,8 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 
+#include "node/document_store.h"
 #include "node/peer_link.h"
 #include "node/settings.h"
 #include "yuccamast/membership/member.h"
@@ -20,37 +20,24 @@
 /// The owner calls `Fetch` with a member that holds a newer document than this
 /// node. At most one fetch of each kind is in progress; meanwhile further
 /// calls for that kind are ignored, since the gossip that caused them is
-/// repeated. The result goes to a hook as the bytes that the peer sent, with
-/// the MAC checked and removed.
+/// repeated. A request names the document that this node holds, so that the
+/// peer can answer with the difference; if the answer cannot be decoded, the
+/// next request asks for the whole document. The result goes to a hook.
 
 namespace yuccamast {
 
-/// Kinds of documents that nodes fetch from each other. The values are sent, so
-/// they must not change.
-enum class DocumentKind : std::uint8_t { kConfig, kVmList };
-
-/// Name of a kind in logs: `config` or `vm_list`.
-std::string_view NameOf(DocumentKind kind);
-
-inline constexpr std::size_t kDocumentKindCount = 2;
-
-/// Asks a peer for a document.
-struct FetchRequest {
-  std::uint8_t kind = 0;  ///< A `DocumentKind`.
-  MSGPACK_DEFINE(kind)
-};
-
 /// Use from the thread of its io_context only.
 class DocumentFetcher {
  public:
   /// Receives a document. Called on the fetcher's thread.
   using DocumentHook =
-      std::function<void(DocumentKind kind, const std::string& bytes)>;
+      std::function<void(DocumentKind kind, Document document)>;
 
-  /// `settings` and `metrics` must outlive the fetcher. Handlers refer to it,
+  /// The references must outlive the fetcher. Handlers refer to it,
   /// so the io_context must have stopped before it is destroyed.
   DocumentFetcher(boost::asio::io_context& io,
                   const NodeSettings& settings,
+                  const DocumentStore& documents,
                   Metrics& metrics,
                   DocumentHook on_document);
 
@@ -74,6 +61,7 @@
     bool in_progress = false;
     TimePoint heard_at{};      ///< Epoch of the clock: nothing newer is known.
     TimePoint requested_at{};  ///< Of the fetch in progress.
+    bool wants_whole = false;  ///< The last answer could not be decoded.
   };
 
   KindState& StateOf(DocumentKind kind) {
@@ -89,6 +77,7 @@
 
   boost::asio::io_context& m_io;
   const NodeSettings& m_settings;
+  const DocumentStore& m_documents;
   Metrics& m_metrics;
   const DocumentHook m_on_document;
   std::array<KindState, kDocumentKindCount> m_states;
