--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -16,12 +16,13 @@
 /// The only entry that the section `bounds` may have.
 constexpr std::string_view kCallersEntry = "callers";
 
-/// An entry while the files are merged: its fields so far, and for each field
-/// the file that set it.
+/// An entry while the files are merged: its fields so far and, for each of them
+/// and each field reset to its default, the file that did so.
 struct DraftEntry {
   JsonValue::Object fields;
-  std::map<std::string, std::string, std::less<>> file_of_field;
-  std::string file;  ///< The last file that changed the entry.
+  std::vector<const std::string*> field_files;  ///< `[i]` set `fields[i]`.
+  std::map<std::string, const std::string*, std::less<>> reset_files;
+  const std::string* file = nullptr;  ///< The last that changed the entry.
 };
 
 using DraftSection = std::map<std::string, DraftEntry, std::less<>>;
@@ -42,40 +43,44 @@
 }
 
 /// Sets one field of an entry; `null` resets it to its default.
-void MergeField(DraftEntry& entry,
-                const JsonMember& field,
-                const std::string& file) {
-  std::erase_if(entry.fields,
-                [&](const JsonMember& old) { return old.key == field.key; });
-  entry.file_of_field[field.key] = file;
-  if (!field.value.IsNull()) {
-    entry.fields.push_back(field);
+void MergeField(DraftEntry& entry, JsonMember& field, const std::string& file) {
+  const auto old = std::ranges::find(entry.fields, field.key, &JsonMember::key);
+  if (old != entry.fields.end()) {
+    entry.field_files.erase(entry.field_files.begin() +
+                            (old - entry.fields.begin()));
+    entry.fields.erase(old);
+  }
+  if (field.value.IsNull()) {
+    entry.reset_files[field.key] = &file;
+    return;
   }
+  entry.fields.push_back(std::move(field));
+  entry.field_files.push_back(&file);
 }
 
 /// Adds an entry or overrides some of its fields; `null` removes the entry.
 void MergeEntry(Draft& draft,
                 const std::string& section,
-                const JsonMember& entry,
+                JsonMember& entry,
                 const std::string& file) {
   DraftSection& entries = draft.sections[section];
-  const std::string key = section + "." + entry.key;
   if (entry.value.IsNull()) {
     if (entries.erase(entry.key) == 0) {
-      Report(draft, file, key, ConfigFault::kRemovesNothing);
+      Report(draft, file, section + "." + entry.key,
+             ConfigFault::kRemovesNothing);
     }
     return;
   }
-  const JsonValue::Object* fields = entry.value.AsObject();
+  JsonValue::Object* fields = entry.value.AsObject();
   if (fields == nullptr) {
-    Report(draft, file, key, ConfigFault::kWrongType, "expected an object");
+    Report(draft, file, section + "." + entry.key, ConfigFault::kWrongType,
+           "expected an object");
     return;
   }
   DraftEntry& merged = entries[entry.key];
-  merged.file = file;
-  std::ranges::for_each(*fields, [&](const JsonMember& field) {
-    MergeField(merged, field, file);
-  });
+  merged.file = &file;
+  std::ranges::for_each(
+      *fields, [&](JsonMember& field) { MergeField(merged, field, file); });
 }
 
 void MergeFile(Draft& draft, const ConfigFile& file) {
@@ -86,22 +91,22 @@
                parsed.error().detail);
     return;
   }
-  const JsonValue::Object* sections = parsed.value().AsObject();
+  JsonValue::Object* sections = parsed.value().AsObject();
   if (sections == nullptr) {
     Report(draft, file.name, "", ConfigFault::kWrongType, "expected an object");
     return;
   }
-  for (const JsonMember& section : *sections) {
+  for (JsonMember& section : *sections) {
     if (std::ranges::find(kSections, section.key) == kSections.end()) {
       Report(draft, file.name, section.key, ConfigFault::kUnknownKey);
       continue;
     }
-    const JsonValue::Object* entries = section.value.AsObject();
+    JsonValue::Object* entries = section.value.AsObject();
     if (entries == nullptr) {
       Report(draft, file.name, section.key, ConfigFault::kWrongType);
       continue;
     }
-    std::ranges::for_each(*entries, [&](const JsonMember& entry) {
+    std::ranges::for_each(*entries, [&](JsonMember& entry) {
       MergeEntry(draft, section.key, entry, file.name);
     });
   }
@@ -122,26 +127,35 @@
   }
 }
 
-/// Reads one entry with `read`. Each error of a field is reported for the file
-/// that set the field, or for the last file that changed the entry if no file
-/// set it.
+/// The file to report an error of a field for: the one that set or reset it,
+/// else the last one that changed the entry.
+const std::string& FileOfField(const DraftEntry& entry,
+                               const JsonValue::Object& fields,
+                               std::string_view key) {
+  const auto field = std::ranges::find(fields, key, &JsonMember::key);
+  if (field != fields.end()) {
+    return *entry.field_files.at(
+        static_cast<std::size_t>(field - fields.begin()));
+  }
+  const auto reset = entry.reset_files.find(key);
+  return reset == entry.reset_files.end() ? *entry.file : *reset->second;
+}
+
+/// Reads one entry with `read`, which takes its fields out of the draft.
 template <typename Read>
 void ReadEntry(Draft& draft,
                const std::string& section,
                const std::string& name,
-               const DraftEntry& entry,
+               DraftEntry& entry,
                Read read) {
-  const JsonValue value{entry.fields};
+  const JsonValue value{std::move(entry.fields)};
   std::vector<FieldError> errors;
   ObjectReader reader(value, "", &errors);
   read(reader);
   reader.Finish();
   std::ranges::for_each(errors, [&](const FieldError& error) {
-    const auto origin = entry.file_of_field.find(error.key);
-    const std::string file =
-        origin == entry.file_of_field.end() ? entry.file : origin->second;
-    Report(draft, file, section + "." + name + "." + error.key,
-           ToConfigFault(error.fault));
+    Report(draft, FileOfField(entry, *value.AsObject(), error.key),
+           section + "." + name + "." + error.key, ToConfigFault(error.fault));
   });
 }
 
@@ -274,27 +288,27 @@
 }
 
 void ReadSections(Draft& draft, Configuration& result) {
-  for (const auto& item : draft.sections["services"]) {
+  for (auto& item : draft.sections["services"]) {
     ReadEntry(draft, "services", item.first, item.second,
               [&](ObjectReader& reader) {
                 result.services[item.first] = ReadService(item.first, reader);
               });
   }
-  for (const auto& item : draft.sections["upstreams"]) {
+  for (auto& item : draft.sections["upstreams"]) {
     ReadEntry(draft, "upstreams", item.first, item.second,
               [&](ObjectReader& reader) {
                 result.upstreams[item.first] = ReadUpstream(item.first, reader);
               });
   }
-  for (const auto& item : draft.sections["rules"]) {
+  for (auto& item : draft.sections["rules"]) {
     ReadEntry(draft, "rules", item.first, item.second,
               [&](ObjectReader& reader) {
                 result.rules[item.first] = ReadRule(item.first, reader);
               });
   }
-  for (const auto& item : draft.sections["bounds"]) {
+  for (auto& item : draft.sections["bounds"]) {
     if (item.first != kCallersEntry) {
-      Report(draft, item.second.file, "bounds." + item.first,
+      Report(draft, *item.second.file, "bounds." + item.first,
              ConfigFault::kUnknownKey);
       continue;
     }
@@ -314,7 +328,7 @@
   if (service.empty() || result.services.contains(service)) {
     return;
   }
-  Report(draft, draft.sections[section][name].file,
+  Report(draft, *draft.sections[section][name].file,
          section + "." + name + ".service", ConfigFault::kDanglingService,
          service);
 }
@@ -327,7 +341,7 @@
                                     const std::string& first,
                                     const std::string& second) {
   DraftSection& entries = draft.sections[section];
-  return entries[first].file > entries[second].file ? first : second;
+  return *entries[first].file > *entries[second].file ? first : second;
 }
 
 /// Checks that the services of the upstreams exist and that no two upstreams
@@ -340,7 +354,7 @@
     if (!is_new) {
       const std::string& last_changed =
           LastChangedEntry(draft, "upstreams", other->second, name);
-      Report(draft, draft.sections["upstreams"][last_changed].file,
+      Report(draft, *draft.sections["upstreams"][last_changed].file,
              "upstreams." + last_changed + ".vm", ConfigFault::kDuplicateVm,
              upstream.vm);
     }
@@ -368,7 +382,7 @@
       });
   if ((!has_slashes && rule.prefix != "/") || !valid_host ||
       !rule.path.empty() || rule.method != "*") {
-    Report(draft, draft.sections["rules"][name].file,
+    Report(draft, *draft.sections["rules"][name].file,
            "rules." + name + ".prefix", ConfigFault::kBadPrefix, rule.prefix);
   }
 }
@@ -378,7 +392,9 @@
 void CheckRules(Draft& draft, const Configuration& result) {
   bool all_paths_valid = true;
   for (const auto& [name, rule] : result.rules) {
-    const std::string& file = draft.sections["rules"][name].file;
+    const auto file = [&]() -> const std::string& {
+      return *draft.sections["rules"][name].file;
+    };
     CheckServiceName(draft, result, "rules", name, rule.service);
     for (const SplitPart& part : rule.split) {
       CheckServiceName(draft, result, "rules", name, part.service);
@@ -387,11 +403,11 @@
       CheckPrefix(draft, name, rule);
     } else if (!ParsePattern(rule.path)) {
       all_paths_valid = false;
-      Report(draft, file, "rules." + name + ".path", ConfigFault::kBadPath,
+      Report(draft, file(), "rules." + name + ".path", ConfigFault::kBadPath,
              rule.path);
     }
     if (!IsMethod(rule.method)) {
-      Report(draft, file, "rules." + name + ".method",
+      Report(draft, file(), "rules." + name + ".method",
              ConfigFault::kUnknownName, rule.method);
     }
   }
@@ -401,7 +417,7 @@
   std::ranges::for_each(FindOverlaps(result.rules), [&](const auto& pair) {
     const std::string& last_changed =
         LastChangedEntry(draft, "rules", pair.first, pair.second);
-    Report(draft, draft.sections["rules"][last_changed].file,
+    Report(draft, *draft.sections["rules"][last_changed].file,
            "rules." + last_changed, ConfigFault::kOverlap,
            last_changed == pair.first ? pair.second : pair.first);
   });
--- a/src/libyuccamast/config/rule_table.cpp
+++ b/src/libyuccamast/config/rule_table.cpp
@@ -189,15 +189,16 @@
 std::vector<RuleOverlap> FindSamePrefixes(
     const std::map<std::string, Rule, std::less<>>& rules) {
   std::vector<RuleOverlap> duplicates;
-  std::map<std::pair<std::string, std::string>, std::string> seen;
+  using HostAndPrefix = std::pair<std::string_view, std::string_view>;
+  std::map<HostAndPrefix, std::string_view> seen;
   for (const auto& [name, rule] : rules) {
     if (rule.prefix.empty()) {
       continue;
     }
     const auto [first, is_new] =
-        seen.emplace(std::pair(rule.host, rule.prefix), name);
+        seen.emplace(HostAndPrefix(rule.host, rule.prefix), name);
     if (!is_new) {
-      duplicates.push_back({first->second, name});
+      duplicates.push_back({std::string(first->second), name});
     }
   }
   return duplicates;
--- a/src/libyuccamast/json/json_value.cpp
+++ b/src/libyuccamast/json/json_value.cpp
@@ -63,19 +63,29 @@
     return Add(JsonValue(std::string(text, size)));
   }
   bool Key(const char* text, rapidjson::SizeType size, bool /*copy*/) {
-    m_open_containers.back().keys.emplace_back(text, size);
+    m_members.push_back({std::string(text, size), JsonValue()});
     return true;
   }
-  bool StartObject() { return Open(JsonValue(JsonValue::Object())); }
-  bool StartArray() { return Open(JsonValue(JsonValue::Array())); }
-  bool EndObject(rapidjson::SizeType /*count*/) {
-    if (const auto key =
-            FindRepeatedKey(*m_open_containers.back().value.AsObject())) {
+  bool StartObject() { return Open(Container::kObject); }
+  bool StartArray() { return Open(Container::kArray); }
+  bool EndObject(rapidjson::SizeType count) {
+    const auto first = m_members.end() - count;
+    JsonValue::Object object(std::make_move_iterator(first),
+                             std::make_move_iterator(m_members.end()));
+    if (const auto key = FindRepeatedKey(object)) {
       return Fail(JsonFault::kDuplicateKey, *key);
     }
-    return Close();
+    return Close(first, JsonValue(std::move(object)));
+  }
+  bool EndArray(rapidjson::SizeType count) {
+    const auto first = m_members.end() - count;
+    JsonValue::Array array;
+    array.reserve(count);
+    std::ranges::transform(
+        first, m_members.end(), std::back_inserter(array),
+        [](JsonMember& member) { return std::move(member.value); });
+    return Close(first, JsonValue(std::move(array)));
   }
-  bool EndArray(rapidjson::SizeType /*count*/) { return Close(); }
 
   // Not called, since kParseNumbersAsStringsFlag is set.
   bool Int(int /*value*/) { return false; }
@@ -88,11 +98,7 @@
   JsonValue TakeRoot() { return std::move(m_root); }
 
  private:
-  /// An array or object whose end has not been read.
-  struct OpenContainer {
-    JsonValue value;
-    std::vector<std::string> keys;  ///< The last key has no value yet.
-  };
+  enum class Container : std::uint8_t { kObject, kArray };
 
   bool Fail(JsonFault fault, std::string_view detail) {
     m_error = JsonError{fault, std::string(detail)};
@@ -100,17 +106,18 @@
   }
 
   /// Begins an array or object.
-  bool Open(JsonValue value) {
+  bool Open(Container container) {
     if (m_open_containers.size() >= kMaxJsonDepth) {
       return Fail(JsonFault::kTooDeep, "more than 32 levels");
     }
-    m_open_containers.push_back({std::move(value), {}});
+    m_open_containers.push_back(container);
     return true;
   }
 
-  /// Ends the innermost array or object and adds it to the one around it.
-  bool Close() {
-    JsonValue value = std::move(m_open_containers.back().value);
+  /// Ends the innermost array or object, whose members begin at `first`, and
+  /// adds it to the one around it.
+  bool Close(std::vector<JsonMember>::iterator first, JsonValue value) {
+    m_members.erase(first, m_members.end());
     m_open_containers.pop_back();
     return Add(std::move(value));
   }
@@ -119,21 +126,20 @@
   bool Add(JsonValue value) {
     if (m_open_containers.empty()) {
       m_root = std::move(value);
-      return true;
-    }
-    OpenContainer& container = m_open_containers.back();
-    if (auto* array = container.value.AsArray()) {
-      array->push_back(std::move(value));
+    } else if (m_open_containers.back() == Container::kObject) {
+      m_members.back().value = std::move(value);
     } else {
-      container.value.AsObject()->push_back(
-          {std::move(container.keys.back()), std::move(value)});
-      container.keys.pop_back();
+      m_members.push_back({std::string(), std::move(value)});
     }
     return true;
   }
 
   JsonValue m_root;
-  std::vector<OpenContainer> m_open_containers;
+  std::vector<Container> m_open_containers;  ///< Outermost first.
+  /// Members of the open containers read so far, those of inner ones last. A
+  /// member of an array has no key; the last one of an object may have no value
+  /// yet.
+  std::vector<JsonMember> m_members;
   std::optional<JsonError> m_error;
 };
 
--- a/src/libyuccamast/json/object_reader.cpp
+++ b/src/libyuccamast/json/object_reader.cpp
@@ -24,14 +24,24 @@
                            std::string prefix,
                            std::vector<FieldError>* errors)
     : m_value(value), m_prefix(std::move(prefix)), m_errors(errors) {
-  if (m_value.AsObject() == nullptr) {
+  if (const JsonValue::Object* object = m_value.AsObject()) {
+    m_known.resize(object->size());
+  } else {
     m_errors->push_back({m_prefix, FieldFault::kWrongType});
   }
 }
 
 const JsonValue* ObjectReader::Get(std::string_view key) {
-  m_known.emplace(key);
-  return m_value.Find(key);
+  const JsonValue::Object* object = m_value.AsObject();
+  if (object == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::ranges::find(*object, key, &JsonMember::key);
+  if (found == object->end()) {
+    return nullptr;
+  }
+  m_known[static_cast<std::size_t>(found - object->begin())] = true;
+  return &found->value;
 }
 
 std::string ObjectReader::String(
@@ -130,11 +140,11 @@
   if (object == nullptr) {
     return;
   }
-  std::ranges::for_each(*object, [this](const JsonMember& member) {
-    if (!m_known.contains(member.key)) {
-      Report(member.key, FieldFault::kUnknownKey);
+  for (std::size_t i = 0; i < object->size(); ++i) {
+    if (!m_known[i]) {
+      Report((*object)[i].key, FieldFault::kUnknownKey);
     }
-  });
+  }
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/json/object_reader.h
+++ b/src/libyuccamast/json/object_reader.h
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -118,7 +117,7 @@
   const JsonValue& m_value;
   std::string m_prefix;
   std::vector<FieldError>* m_errors;
-  std::set<std::string, std::less<>> m_known;
+  std::vector<bool> m_known;  ///< By the index of the member.
 };
 
 }  // namespace yuccamast
--- a/testsuite/capacity.cpp
+++ b/testsuite/capacity.cpp
@@ -148,6 +148,41 @@
   PrintFit("config_merge_ms_per_upstream", sizes, times, "ms");
 }
 
+/// Returns a configuration with one service and this number of prefix rules.
+std::string MakePrefixRulesText(std::size_t rules) {
+  std::ostringstream text;
+  text << R"({"services": {"s": {}}, "rules": {)";
+  for (std::size_t i = 0; i < rules; ++i) {
+    text << (i == 0 ? "" : ",") << "\"r-" << i * 7919 << R"(": {"service": "s",
+      "host": "shop.example", "prefix": "/p)"
+         << i * 104729 << R"(/", "idempotent": true, "deadline_ms": 1500,
+      "objective_ms": 600, "urgency": 2, "max_upstreams": 2})";
+  }
+  text << "}}";
+  return text.str();
+}
+
+/// Measures the time to parse, merge and check a configuration over the number
+/// of prefix rules.
+void MeasureRuleMerge() {
+  std::vector<double> sizes;
+  std::vector<double> times;
+  for (const std::size_t rules : {350U, 700U, 1400U, 2800U}) {
+    const std::string text = MakePrefixRulesText(rules);
+    const auto started_at = SteadyClock::now();
+    const auto merged = yuccamast::MergeConfiguration({{"a.json", text}}, 1);
+    const double elapsed_ms = std::chrono::duration<double, std::milli>(
+                                  SteadyClock::now() - started_at)
+                                  .count();
+    sizes.push_back(static_cast<double>(rules));
+    times.push_back(elapsed_ms);
+    std::cout << "rules=" << rules << " bytes=" << text.size()
+              << " merged=" << static_cast<bool>(merged)
+              << " merge_ms=" << elapsed_ms << std::endl;
+  }
+  PrintFit("config_merge_ms_per_rule", sizes, times, "ms");
+}
+
 /// Measures the time to choose an upstream by the policy `least_cost` over the
 /// number of candidates.
 void MeasureChoice() {
@@ -194,6 +229,7 @@
 int main() {
   MeasureChoice();
   MeasureConfigMerge();
+  MeasureRuleMerge();
   MeasureMemoryPerIdleConnection();
   MeasureCpuPerCall();
   return 0;
