--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -195,7 +195,7 @@
   if (config.revision > 0 && peer_config > m_config_selector.version() &&
       peer_config != m_config_selector.refused_version()) {
     m_fetcher.OnNewerHeard(DocumentKind::kConfig, Clock::now());
-    m_fetcher.Fetch(DocumentKind::kConfig, holder);
+    m_fetcher.Fetch(DocumentKind::kConfig, {holder, config});
   }
   if (vm_list.revision > m_vm_list_version.revision &&
       vm_list.digest == m_vm_list_version.digest) {
@@ -203,14 +203,15 @@
     m_documents.SetVersion(DocumentKind::kVmList, vm_list);
     m_membership.SetVmListVersion(m_vm_list_version);
   } else if (vm_list > m_vm_list_version) {
-    FetchVmList(holder);
+    FetchVmList({holder, vm_list});
   }
 }
 
-void ControlPlane::FetchVmList(const MemberRecord& holder) {
+void ControlPlane::FetchVmList(const DocumentHolder& holder) {
   const TimePoint now = Clock::now();
   m_fetcher.OnNewerHeard(DocumentKind::kVmList, now);
-  const bool same_data_centre = holder.data_centre == m_settings.data_centre;
+  const bool same_data_centre =
+      holder.member.data_centre == m_settings.data_centre;
   const bool waited =
       m_remote_holder && now - m_remote_holder_since >= kLocalHolderWait;
   if (same_data_centre || waited) {
@@ -437,7 +438,7 @@
   }
   UpdateStaleness(now);
   if (m_remote_holder && now - m_remote_holder_since >= kLocalHolderWait) {
-    const MemberRecord holder = *m_remote_holder;
+    const DocumentHolder holder = *m_remote_holder;
     m_remote_holder.reset();
     m_fetcher.Fetch(DocumentKind::kVmList, holder);
   }
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -112,7 +112,7 @@
                       const HeldVersion& vm_list);
   /// Fetches the VM list from `holder`: now or, if it is in another data
   /// centre, after a wait.
-  void FetchVmList(const MemberRecord& holder);
+  void FetchVmList(const DocumentHolder& holder);
   void OnFetched(DocumentKind kind, const Document& document);
   void OnSourceConfig(const PublishedConfig& config);
   /// Applies the configuration if it is newer and valid.
@@ -159,7 +159,7 @@
   DocumentStore m_documents;
   DocumentFetcher m_fetcher;
   /// Peer in another data centre with a newer VM list, and since when.
-  std::optional<MemberRecord> m_remote_holder;
+  std::optional<DocumentHolder> m_remote_holder;
   TimePoint m_remote_holder_since{};
   /// The next four are read by the hooks of the source, on any thread.
   std::atomic<bool> m_is_reader{false};
--- a/src/libyuccamast/node/document_fetcher.cpp
+++ b/src/libyuccamast/node/document_fetcher.cpp
@@ -34,26 +34,27 @@
   }
 }
 
-void DocumentFetcher::Fetch(DocumentKind kind, const MemberRecord& holder) {
+void DocumentFetcher::Fetch(DocumentKind kind, const DocumentHolder& holder) {
   KindState& state = StateOf(kind);
   boost::system::error_code parse_error;
-  const auto address = asio::ip::make_address(holder.ip, parse_error);
+  const auto address = asio::ip::make_address(holder.member.ip, parse_error);
   if (state.in_progress || parse_error || m_closed) {
     return;
   }
   state.in_progress = true;
   state.requested_at = Clock::now();
-  auto& link = m_links[{address, holder.port}];
+  const tcp::endpoint endpoint(address, holder.member.port);
+  auto& link = m_links[endpoint];
   if (link == nullptr) {
-    link = std::make_shared<PeerLink>(m_io, tcp::endpoint(address, holder.port),
-                                      m_settings.link, m_metrics);
+    link =
+        std::make_shared<PeerLink>(m_io, endpoint, m_settings.link, m_metrics);
   }
   const FetchRequest request{
       static_cast<std::uint8_t>(kind), kDocumentProtocol,
       state.wants_whole ? "" : m_documents.HeldDigest(kind)};
   OfferHooks hooks;
-  hooks.on_answer = [this, kind, from = holder.vm](StreamOutcome outcome,
-                                                   const std::string& bytes) {
+  hooks.on_answer = [this, kind, from = holder.member.vm](
+                        StreamOutcome outcome, const std::string& bytes) {
     OnAnswer(kind, from, outcome, bytes);
   };
   link->Send(LinkPath::kControl,
--- a/src/libyuccamast/node/document_fetcher.h
+++ b/src/libyuccamast/node/document_fetcher.h
@@ -26,6 +26,12 @@
 
 namespace yuccamast {
 
+/// A member and the version that it holds of a document.
+struct DocumentHolder {
+  MemberRecord member;
+  HeldVersion version;
+};
+
 /// Use from the thread of its io_context only.
 class DocumentFetcher {
  public:
@@ -48,7 +54,7 @@
 
   /// Requests the document from `holder`, unless a fetch of this kind is in
   /// progress, the holder's address is malformed, or the fetcher is closed.
-  void Fetch(DocumentKind kind, const MemberRecord& holder);
+  void Fetch(DocumentKind kind, const DocumentHolder& holder);
 
   /// Whether a fetch of this kind is in progress.
   bool IsFetching(DocumentKind kind) const { return StateOf(kind).in_progress; }
