Ask another holder when the one asked for a document is silent

Callers are handled by an old configuration while the node waits for a peer that accepts connections and sends nothing (a frozen VM, a path that drops packets). Cause: the fetch ends only with its connection, after 7 s here, and other holders that the node hears of meanwhile are ignored. Class of fault: one outstanding request without a bound below the deadline of what it serves.

Change: the fetcher remembers the newest other holder and asks it when the first has sent nothing for 500 ms, or when the fetch fails. A transfer that makes progress is not disturbed.

--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -26,19 +26,25 @@
 
 // Indexed by LogEvent.
 constexpr std::array<std::string_view, kLogEventCount> kEventNames = {
-    "node_started",      "node_leaving",         "node_stopped",
-    "stop_overrun",      "stop_call_left",       "settings_refused",
-    "config_accepted",   "config_refused",       "config_stale",
-    "config_conflict",   "platform_unreachable", "platform_reachable",
-    "vm_list_accepted",  "vm_list_refused",      "peer_connected",
-    "peer_lost",         "pause_noticed",        "call_refused",
-    "call_finished",     "call_retried",         "upstream_fault",
-    "offer_refused",     "caller_refused",       "member_changed",
-    "upstream_draining", "upstream_named",       "call_moved",
-    "run_cancelled",     "settings_reloaded",    "log_suppressed",
-    "log_dropped",       "source_call_failed",   "source_item_refused",
-    "config_read",       "document_fetched",     "document_fetch_failed",
-    "internal"};
+    "node_started",         "node_leaving",
+    "node_stopped",         "stop_overrun",
+    "stop_call_left",       "settings_refused",
+    "config_accepted",      "config_refused",
+    "config_stale",         "config_conflict",
+    "platform_unreachable", "platform_reachable",
+    "vm_list_accepted",     "vm_list_refused",
+    "peer_connected",       "peer_lost",
+    "pause_noticed",        "call_refused",
+    "call_finished",        "call_retried",
+    "upstream_fault",       "offer_refused",
+    "caller_refused",       "member_changed",
+    "upstream_draining",    "upstream_named",
+    "call_moved",           "run_cancelled",
+    "settings_reloaded",    "log_suppressed",
+    "log_dropped",          "source_call_failed",
+    "source_item_refused",  "config_read",
+    "document_fetched",     "document_fetch_failed",
+    "document_fetch_moved", "internal"};
 
 std::atomic<LogLevel> g_min_level{LogLevel::kWarning};
 std::string g_node;  // Set before threads start.
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -74,6 +74,7 @@
   kConfigRead,
   kDocumentFetched,
   kDocumentFetchFailed,
+  kDocumentFetchMoved,
   kInternal,
 };
 
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -432,6 +432,7 @@
   const TimePoint now = Clock::now();
   CheckPause(now);
   m_membership.OnTick(now);
+  m_fetcher.OnTick(now);
   if (m_members_changed) {
     m_members_changed = false;
     PublishLiveness();
--- a/src/libyuccamast/node/document_fetcher.cpp
+++ b/src/libyuccamast/node/document_fetcher.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A holder that sends nothing for this long is not waited for while another
+/// one is known.
+constexpr Duration kMaxHolderSilence = std::chrono::milliseconds(500);
+
 std::int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -35,14 +39,28 @@
 }
 
 void DocumentFetcher::Fetch(DocumentKind kind, const DocumentHolder& holder) {
+  KindState& state = StateOf(kind);
+  if (m_closed) {
+    return;
+  }
+  if (!state.in_progress) {
+    Start(kind, holder);
+    return;
+  }
+  const bool is_other = holder.member.ip != state.holder.member.ip ||
+                        holder.member.port != state.holder.member.port;
+  if (is_other && (!state.other || holder.version >= state.other->version)) {
+    state.other = holder;
+  }
+}
+
+void DocumentFetcher::Start(DocumentKind kind, const DocumentHolder& holder) {
   KindState& state = StateOf(kind);
   boost::system::error_code parse_error;
   const auto address = asio::ip::make_address(holder.member.ip, parse_error);
-  if (state.in_progress || parse_error || m_closed) {
+  if (parse_error) {
     return;
   }
-  state.in_progress = true;
-  state.requested_at = Clock::now();
   const tcp::endpoint endpoint(address, holder.member.port);
   auto& link = m_links[endpoint];
   if (link == nullptr) {
@@ -52,13 +70,47 @@
   const FetchRequest request{
       static_cast<std::uint8_t>(kind), kDocumentProtocol,
       state.wants_whole ? "" : m_documents.HeldDigest(kind)};
+  state.in_progress = true;
+  state.requested_at = Clock::now();
+  state.holder = holder;
+  state.link = link;
+  state.other.reset();
   OfferHooks hooks;
   hooks.on_answer = [this, kind, from = holder.member.vm](
                         StreamOutcome outcome, const std::string& bytes) {
     OnAnswer(kind, from, outcome, bytes);
   };
-  link->Send(LinkPath::kControl,
-             AppendMac(m_settings.shared_key, Pack(request)), std::move(hooks));
+  state.offer = link->Send(LinkPath::kControl,
+                           AppendMac(m_settings.shared_key, Pack(request)),
+                           std::move(hooks));
+}
+
+void DocumentFetcher::OnTick(TimePoint now) {
+  for (std::size_t i = 0; i < kDocumentKindCount; ++i) {
+    const auto kind = static_cast<DocumentKind>(i);
+    const KindState& state = StateOf(kind);
+    if (!state.in_progress || !state.other) {
+      continue;
+    }
+    const Duration silence =
+        std::min(now - state.requested_at, state.link->TimeSinceReceive(now));
+    if (silence >= kMaxHolderSilence) {
+      MoveToOther(kind);
+    }
+  }
+}
+
+void DocumentFetcher::MoveToOther(DocumentKind kind) {
+  KindState& state = StateOf(kind);
+  const DocumentHolder other = *state.other;
+  Log(LogLevel::kWarning, LogEvent::kDocumentFetchMoved,
+      {{"kind", NameOf(kind)},
+       {"from", state.holder.member.vm},
+       {"to", other.member.vm},
+       {"after_ms", ToMilliseconds(Clock::now() - state.requested_at)}});
+  state.link->Cancel(state.offer);
+  state.in_progress = false;
+  Start(kind, other);
 }
 
 void DocumentFetcher::OnAnswer(DocumentKind kind,
@@ -80,6 +132,9 @@
        {"transfer_ms", ToMilliseconds(now - state.requested_at)}});
   if (!answered) {
     m_metrics.Add(Counter::kDocumentFetchFailures);
+    if (const auto other = std::exchange(state.other, std::nullopt)) {
+      Start(kind, *other);
+    }
     return;
   }
   state.heard_at = TimePoint{};
--- a/src/libyuccamast/node/document_fetcher.h
+++ b/src/libyuccamast/node/document_fetcher.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/document_store.h"
@@ -18,14 +19,15 @@
 /// connections.
 ///
 /// The owner calls `Fetch` with a member that holds a newer document than this
-/// node. At most one fetch of each kind is in progress; meanwhile further
-/// calls for that kind are ignored, since the gossip that caused them is
-/// repeated. A request names the document that this node holds, so that the
-/// peer can answer with the difference; if the answer cannot be decoded, the
-/// next request asks for the whole document. The result goes to a hook.
+/// node. At most one fetch of each kind is in progress. A holder that is given
+/// meanwhile is remembered and asked next if the one asked first stays silent
+/// or the fetch fails.
+///
+/// A request names the document that this node holds, so that the peer can
+/// answer with the difference; if the answer cannot be decoded, the next
+/// request asks for the whole document. The result goes to a hook.
 
 namespace yuccamast {
-
 /// A member and the version that it holds of a document.
 struct DocumentHolder {
   MemberRecord member;
@@ -48,14 +50,19 @@
                   DocumentHook on_document);
 
   /// Notes that a newer document of this kind than the one held is known to
-  /// exist. The first of these calls since the last document starts the time
-  /// that logs give as `heard_ms`.
+  /// exist. The first of these calls since the last document starts the
+  /// time that logs give as `heard_ms`.
   void OnNewerHeard(DocumentKind kind, TimePoint now);
 
-  /// Requests the document from `holder`, unless a fetch of this kind is in
-  /// progress, the holder's address is malformed, or the fetcher is closed.
+  /// Requests the document from `holder`, or remembers the holder if a
+  /// fetch of this kind is in progress and responding. No effect if the
+  /// holder's address is malformed or the fetcher is closed.
   void Fetch(DocumentKind kind, const DocumentHolder& holder);
 
+  /// Moves fetches whose holder is silent to another one. To be called about
+  /// every 50 ms.
+  void OnTick(TimePoint now);
+
   /// Whether a fetch of this kind is in progress.
   bool IsFetching(DocumentKind kind) const { return StateOf(kind).in_progress; }
 
@@ -67,6 +74,11 @@
     bool in_progress = false;
     TimePoint heard_at{};      ///< Epoch of the clock: nothing newer is known.
     TimePoint requested_at{};  ///< Of the fetch in progress.
+    DocumentHolder holder;     ///< Asked by the fetch in progress.
+    std::shared_ptr<PeerLink> link;  ///< To `holder`.
+    OfferId offer = 0;               ///< On `link`.
+    /// Another holder, of the newest version heard during the fetch.
+    std::optional<DocumentHolder> other;
     bool wants_whole = false;  ///< The last answer could not be decoded.
   };
 
@@ -76,6 +88,11 @@
   const KindState& StateOf(DocumentKind kind) const {
     return m_states.at(static_cast<std::size_t>(kind));
   }
+  void Start(DocumentKind kind, const DocumentHolder& holder);
+  /// Abandons the fetch in progress and asks the other holder, if there is
+  /// one.
+  void MoveToOther(DocumentKind kind);
+  void OnSuspect(DocumentKind kind, const tcp::endpoint& endpoint);
   void OnAnswer(DocumentKind kind,
                 const std::string& from,
                 StreamOutcome outcome,
--- a/src/libyuccamast/node/document_fetcher_test.cpp
+++ b/src/libyuccamast/node/document_fetcher_test.cpp
@@ -72,12 +72,13 @@
                   revisions.push_back(document.version.revision);
                 }) {}
 
-  /// Runs the event loop until a document arrives or a fetch fails.
+  /// Runs the event loop and ticks until a document arrives or a fetch fails.
   void RunUntilEvent() {
     const std::size_t before = revisions.size();
     while (revisions.size() == before &&
            metrics.Get(Counter::kDocumentFetchFailures) == 0) {
-      io.run_one();
+      io.run_one_for(std::chrono::milliseconds(20));
+      fetcher.OnTick(Clock::now());
     }
   }
 
--- a/src/libyuccamast/node/peer_link.h
+++ b/src/libyuccamast/node/peer_link.h
@@ -84,6 +84,12 @@
   Duration round_trip() const {
     return m_client == nullptr ? m_round_trip : m_client->round_trip();
   }
+  /// Time since the current connection last received something;
+  /// `Duration::max()` without a connection.
+  Duration TimeSinceReceive(TimePoint now) const {
+    return m_client == nullptr ? Duration::max()
+                               : m_client->TimeSinceReceive(now);
+  }
   std::size_t open_offers() const { return m_offers.size(); }
   bool connected() const { return m_client != nullptr && m_client->usable(); }
 
