Fetch a version heard during a fetch without waiting for a datagram

Nodes get a version later than they could: while an older version is being fetched, a datagram that names a newer one starts nothing, and the announcement is not repeated; the node waits for a ping that names it.

Change: after a document arrives, the fetcher asks the newest other holder that it heard of meanwhile, if that one holds more.

--- a/src/libyuccamast/node/document_fetcher.cpp
+++ b/src/libyuccamast/node/document_fetcher.cpp
@@ -147,7 +147,12 @@
     m_metrics.Add(Counter::kControlMessagesRefused);
     return;
   }
+  const HeldVersion received = document->version;
+  const auto other = std::exchange(state.other, std::nullopt);
   m_on_document(kind, std::move(*document));
+  if (other && other->version > received && !state.in_progress) {
+    Start(kind, *other);
+  }
 }
 
 void DocumentFetcher::Close() {
--- a/src/libyuccamast/node/document_fetcher.h
+++ b/src/libyuccamast/node/document_fetcher.h
@@ -20,8 +20,8 @@
 ///
 /// The owner calls `Fetch` with a member that holds a newer document than this
 /// node. At most one fetch of each kind is in progress. A holder that is given
-/// meanwhile is remembered and asked next if the one asked first stays silent
-/// or the fetch fails.
+/// meanwhile is remembered and asked next if the one asked first stays silent,
+/// the fetch fails, or it returns an older version than the other one holds.
 ///
 /// A request names the document that this node holds, so that the peer can
 /// answer with the difference; if the answer cannot be decoded, the next
