--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Window in which arrivals are counted.
+constexpr std::chrono::seconds kArrivalWindow(4);
+
 /// Fault or unusual reply that a request asks for by `fail=NAME`. The comments
 /// give the names.
 enum class FailureMode : std::uint8_t {
@@ -107,9 +110,10 @@
     return;
   }
   if (request.path == "/health") {
-    respond(MakeReply(200, "ok", LeavingField()));
+    respond(MakeReply(200, "ok", StateFields()));
     return;
   }
+  CountArrival();
   const FailureMode failure_mode = FailureModeOf(request);
   const bool random_failure =
       static_cast<long>(m_random() % 100) < m_fail_percent;
@@ -135,8 +139,22 @@
   StartQueuedJobs();
 }
 
-std::string UpstreamStandIn::LeavingField() const {
-  return m_draining ? "Yuccamast-Upstream-Leaving: 1\r\n" : "";
+std::string UpstreamStandIn::StateFields() const {
+  std::string fields = m_draining ? "Yuccamast-Upstream-Leaving: 1\r\n" : "";
+  if (m_rate_limit > 0) {
+    fields += "Yuccamast-Upstream-Rate-Limit: " + std::to_string(m_rate_limit) +
+              "\r\n";
+  }
+  return fields;
+}
+
+void UpstreamStandIn::CountArrival() {
+  const auto now = std::chrono::steady_clock::now();
+  m_arrivals.push_back(now);
+  while (now - m_arrivals.front() > kArrivalWindow) {
+    m_arrivals.pop_front();
+  }
+  m_busiest_window = std::max(m_busiest_window, m_arrivals.size());
 }
 
 void UpstreamStandIn::StartQueuedJobs() {
@@ -184,7 +202,7 @@
 
 RawReply UpstreamStandIn::BuildReply(const Request& request) {
   const std::string body = MakeReplyBody(request);
-  RawReply reply = MakeReply(200, body, LeavingField());
+  RawReply reply = MakeReply(200, body, StateFields());
   if (request.query.contains("pace")) {
     const std::size_t head = reply.bytes.find("\r\n\r\n") + 4;
     const bool half = QueryParameter(request, "pace", "") == "half";
@@ -236,7 +254,7 @@
        << m_queue.size() << "\npaced " << m_paced << "\npeak " << m_peak_running
        << "\ncancelled " << m_cancelled << "\nconnections "
        << m_server.connections() << "\naccepted " << m_server.accepted()
-       << "\n";
+       << "\nbusiest " << m_busiest_window << "\n";
   return text.str();
 }
 
@@ -254,6 +272,9 @@
     m_draining = QueryNumber(request, "draining", m_draining ? 1 : 0) != 0;
     m_shedding = QueryNumber(request, "shedding", m_shedding ? 1 : 0) != 0;
     m_fail_percent = QueryNumber(request, "fail_share", m_fail_percent);
+    m_rate_limit = QueryNumber(request, "rate_limit", m_rate_limit);
+    m_arrivals.clear();
+    m_busiest_window = 0;
   }
   respond(MakeReply(200, FormatState()));
 }
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -31,13 +31,15 @@
 ///
 /// `/health` answers 200 at once. While draining, replies with status 200, also
 /// to `/health`, carry `Yuccamast-Upstream-Leaving`; those to `fail` do not.
+/// While it limits its rate, they carry `Yuccamast-Upstream-Rate-Limit`.
 ///
 /// Control pages:
 /// - `/_standin/set` changes the upstream as a whole: `slow_percent=N` (service
 ///   times in percent of normal), `draining=0|1` (announces that it is
 ///   leaving), `shedding=0|1` (answers all requests as `fail=shed`),
 ///   `fail_share=N` (this percentage of requests, at random, fails at once with
-///   status 500);
+///   status 500), `rate_limit=N` (announces that it takes N requests a second;
+///   0: none) and resets the count of the busiest window;
 /// - `/_standin/ledger` returns how often each request id ran, as lines `ID N`;
 /// - `/_standin/state` (as `/_standin/set` and any other path that begins with
 ///   `/_standin/`) returns the counts in text lines.
@@ -81,8 +83,10 @@
   void Finish(const std::shared_ptr<Job>& job);
   std::chrono::microseconds ServiceTime(const Request& request);
   RawReply BuildReply(const Request& request);
-  /// Field line that announces that the upstream is leaving, or nothing.
-  std::string LeavingField() const;
+  /// Field lines that announce that the upstream is leaving or limits its rate.
+  std::string StateFields() const;
+  /// Counts an arrival in the sliding window.
+  void CountArrival();
   std::string FormatLedger() const;
   std::string FormatState() const;
 
@@ -100,6 +104,10 @@
   bool m_draining = false;
   bool m_shedding = false;
   long m_fail_percent = 0;  ///< Percentage, set by `fail_share`.
+  long m_rate_limit = 0;    ///< Requests a second; 0: none.
+  /// Arrivals of the last `kArrivalWindow`, and the most there ever were.
+  std::deque<std::chrono::steady_clock::time_point> m_arrivals;
+  std::size_t m_busiest_window = 0;
   /// Runs by request id. A request is counted on arrival unless it is shed, so
   /// that one that is cancelled while it waits counts as a run, too.
   std::map<std::string, unsigned> m_ledger;
