Keep to the rate that an upstream names

Class of fault: a limit of the other end that is not part of admission.

Change: the exit reads the rate from every reply of the upstream, also refusals and health replies, and Admission takes a token of it for each start (RateLimiter). Queue order, estimated waits, refusals and load reports follow from that; entries need no mechanism of their own. The limit ends with a reply to a later request that does not name it, and survives a restart of the node: until the first reply four calls a second are started, and the health page is asked at once.

Why it works: all requests to an upstream pass the exit beside it; the bucket bounds 4 s to 4.5 times the rate plus one, where six times the rate plus five are allowed.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "yuccamast/admission/rate_limiter.h"
 #include "yuccamast/admission/slowdown_estimator.h"
 #include "yuccamast/admission/vm_speed_tracker.h"
 #include "yuccamast/clock.h"
@@ -48,6 +49,11 @@
 /// slow period runs at the slow speed to its end and holds its slot several
 /// times as long.
 ///
+/// The upstream may limit the rate of its calls (`SetRateLimit`). Each start
+/// then also takes a token of that rate; queued calls start in the order above
+/// as tokens come in, and one whose turn would come too late is refused at
+/// once.
+///
 /// The class has no timers and does no I/O; the owner calls `Expire` and
 /// `StartNext`. A method costs at most O(q log q + s log s) for q queued calls
 /// and s slots.
@@ -141,6 +147,14 @@
   /// Sets the current speed of the upstream's VM.
   void SetVmSpeed(const VmSpeed& vm_speed) { m_vm_speed = vm_speed; }
 
+  /// Limits the starts to a rate per second, or lifts the limit. Queued calls
+  /// are kept; `StartNext` starts them as the rate permits.
+  void SetRateLimit(std::optional<double> rate, TimePoint now) {
+    m_rate_limiter.SetRate(rate, now);
+  }
+  /// The limit in starts per second; 0: none.
+  double rate_limit() const { return m_rate_limiter.rate(); }
+
   /// Applies to later decisions; running and queued calls are kept even if
   /// they exceed the new limits.
   void SetLimits(const AdmissionLimits& limits) { m_limits = limits; }
@@ -166,7 +180,8 @@
   SlowdownEstimator::RunningSample SampleRunning(TimePoint now) const;
 
   /// Estimated time in the queue for a call offered now that goes behind all
-  /// queued ones; zero if a slot is free and the queue is empty.
+  /// queued ones; zero if a slot is free, the rate limit permits a start and
+  /// the queue is empty.
   Duration ExpectedWait(TimePoint now) const;
 
   /// Time since the start of the oldest running short call; zero if none
@@ -195,14 +210,15 @@
   };
   using Queue = std::map<QueueKey, QueuedCall>;
 
-  /// Whether a slot is free for a call of this weight class.
-  bool HasSlot(WeightClass weight) const;
+  /// Whether a slot is free for a call of this weight class and the rate limit
+  /// permits a start.
+  bool HasSlot(WeightClass weight, TimePoint now) const;
   /// Whether more slots are free than `late_reserved_slots` (as capped).
   bool HasSlotForLate() const;
   void OccupySlot(const AdmissionRequest& request, TimePoint now);
   static QueueKey MakeQueueKey(const AdmissionRequest& request);
-  /// Estimated time until a slot is free for a call with `ahead` calls before
-  /// it in the queue.
+  /// Estimated time until a slot is free, and the rate limit permits the start,
+  /// for a call with `ahead` calls before it in the queue.
   Duration EstimateWait(std::size_t ahead, TimePoint now) const;
   /// The expected service time, or the mean of short calls if unknown.
   Duration ExpectedService(const AdmissionRequest& request) const;
@@ -235,6 +251,7 @@
   Queue::iterator PickOldest(TimePoint now);
 
   AdmissionLimits m_limits;
+  RateLimiter m_rate_limiter;
   VmSpeed m_vm_speed;
   Queue m_queue;
   std::unordered_map<CallTicket, QueueKey> m_key_by_ticket;
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -20,8 +20,9 @@
 
 }  // namespace
 
-bool Admission::HasSlot(WeightClass weight) const {
-  if (running() >= m_limits.slots) {
+bool Admission::HasSlot(WeightClass weight, TimePoint now) const {
+  if (running() >= m_limits.slots ||
+      m_rate_limiter.WaitFor(0, now) > Duration::zero()) {
     return false;
   }
   return weight == WeightClass::kShort ||
@@ -35,6 +36,7 @@
 }
 
 void Admission::OccupySlot(const AdmissionRequest& request, TimePoint now) {
+  m_rate_limiter.Take(now);
   m_running[request.ticket] = {
       request.weight, now,
       m_vm_speed.TimeIfStartedNow(ExpectedService(request))};
@@ -63,13 +65,15 @@
       });
   left.resize(std::max<std::size_t>(m_limits.slots, left.size()));
   if (left.empty()) {
-    return Duration::zero();
+    return m_rate_limiter.WaitFor(ahead, now);
   }
   std::ranges::sort(left);
   // The k-th slot to become free takes the k-th waiting call, and each slot is
   // free again one mean service time later.
   const auto full_rounds = static_cast<std::int64_t>(ahead / left.size());
-  return left[ahead % left.size()] + m_mean_short_service * full_rounds;
+  return std::max(
+      left[ahead % left.size()] + m_mean_short_service * full_rounds,
+      m_rate_limiter.WaitFor(ahead, now));
 }
 
 SlowdownEstimator::RunningSample Admission::SampleRunning(TimePoint now) const {
@@ -83,7 +87,8 @@
 }
 
 Duration Admission::ExpectedWait(TimePoint now) const {
-  const bool has_free_slot = running() < m_limits.slots && m_queue.empty();
+  const bool has_free_slot =
+      m_queue.empty() && HasSlot(WeightClass::kShort, now);
   return has_free_slot ? Duration::zero() : EstimateWait(m_queue.size(), now);
 }
 
@@ -176,8 +181,8 @@
   // Queued calls that can't start now, for example long or deferred ones, may
   // be overtaken.
   const bool none_ahead = m_queue.empty() || PickNext(now) == m_queue.end();
-  if (slot_permitted && HasSlot(request.weight) && !IsDeferred(request, now) &&
-      none_ahead) {
+  if (slot_permitted && HasSlot(request.weight, now) &&
+      !IsDeferred(request, now) && none_ahead) {
     OccupySlot(request, now);
     return {AdmissionVerdict::kStart, {}, {}};
   }
@@ -217,7 +222,7 @@
     const bool older =
         oldest == m_queue.end() || it->second.since < oldest->second.since;
     const bool has_objective = it->second.request.objective != TimePoint{};
-    if (older && !has_objective && HasSlot(it->second.request.weight) &&
+    if (older && !has_objective && HasSlot(it->second.request.weight, now) &&
         !IsDeferred(it->second.request, now)) {
       oldest = it;
     }
@@ -233,7 +238,7 @@
     }
   }
   const auto can_start = [&](const auto& item) {
-    return HasSlot(item.second.request.weight) &&
+    return HasSlot(item.second.request.weight, now) &&
            !IsDeferred(item.second.request, now);
   };
   const auto in_time = std::ranges::find_if(m_queue, [&](const auto& item) {
--- a/src/libyuccamast/http/dialect.cpp
+++ b/src/libyuccamast/http/dialect.cpp
@@ -18,6 +18,10 @@
   dialect.parse_load = [](const HttpReply& /*reply*/) {
     return std::optional<UpstreamLoad>();
   };
+  dialect.parse_rate_limit = [](const HttpReply& reply) {
+    const std::string* text = FindField(reply.fields, kRateLimitField);
+    return text == nullptr ? RateLimit() : ParseDecimal(*text);
+  };
   dialect.parse_health = [](const HttpReply& reply) {
     return HealthStatus{FindField(reply.fields, kLeavingField) == nullptr, ""};
   };
--- a/src/libyuccamast/http/dialect.h
+++ b/src/libyuccamast/http/dialect.h
@@ -46,6 +46,9 @@
   std::string upstream;  ///< Name of the upstream; empty if not given.
 };
 
+/// Limit on requests per second that a reply names; nothing: none.
+using RateLimit = std::optional<double>;
+
 /// Field names are sent as written here and compared case-insensitively.
 /// Immutable once the node runs; the hooks must be thread-safe. All hooks but
 /// `parent_call_id` are required.
@@ -79,6 +82,9 @@
   /// The load that a reply carries; nothing if it carries none or a malformed
   /// one.
   std::function<std::optional<UpstreamLoad>(const HttpReply&)> parse_load;
+  /// The rate of requests, from all nodes together, to which the upstream
+  /// limits itself by this reply; nothing if it names none or a malformed one.
+  std::function<RateLimit(const HttpReply&)> parse_rate_limit;
   /// Parses a reply of the health page.
   std::function<HealthStatus(const HttpReply&)> parse_health;
   /// Whether a reply indicates that its upstream is leaving.
--- a/src/libyuccamast/http/fields.cpp
+++ b/src/libyuccamast/http/fields.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 namespace yuccamast {
 
@@ -106,4 +107,14 @@
   return value;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0;
+  const char* const end = text.data() + text.size();
+  const auto read =
+      std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  const bool valid = read.ec == std::errc() && read.ptr == end &&
+                     std::isfinite(number) && !std::signbit(number);
+  return valid ? std::optional(number) : std::nullopt;
+}
+
 }  // namespace yuccamast
--- a/src/libyuccamast/http/fields.h
+++ b/src/libyuccamast/http/fields.h
@@ -25,6 +25,8 @@
 inline constexpr std::string_view kRetryField = "Yuccamast-Retry";
 inline constexpr std::string_view kShedField = "Yuccamast-Upstream-Shed";
 inline constexpr std::string_view kLeavingField = "Yuccamast-Upstream-Leaving";
+inline constexpr std::string_view kRateLimitField =
+    "Yuccamast-Upstream-Rate-Limit";
 
 /// Case-insensitive ASCII comparison.
 bool EqualIgnoreCase(std::string_view a, std::string_view b);
@@ -49,4 +51,8 @@
 /// returns nothing. 18 digits always fit.
 std::optional<std::int64_t> ParseCount(std::string_view text);
 
+/// Parses a decimal number, such as `2` or `0.5`, that is finite and not
+/// negative, or returns nothing.
+std::optional<double> ParseDecimal(std::string_view text);
+
 }  // namespace yuccamast
--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -54,9 +54,19 @@
 HealthChecker::~HealthChecker() = default;
 
 void HealthChecker::Start() {
+  m_started = true;
+  ProbeNow();
   ArmTimer();
 }
 
+void HealthChecker::SetHealthPath(const std::string& path) {
+  const bool is_first = m_health_path.empty();
+  m_health_path = path;
+  if (is_first && m_started) {
+    ProbeNow();
+  }
+}
+
 void HealthChecker::Stop() {
   m_stopped = true;
   m_timer.cancel();
@@ -187,6 +197,9 @@
     connection->stream.expires_never();
   }
   SetDraining(m_dialect.indicates_leaving(reply));
+  if (m_hooks.on_rate_limit) {
+    m_hooks.on_rate_limit(m_dialect.parse_rate_limit(reply), m_probe_sent_at);
+  }
   if (m_hooks.on_health) {
     m_hooks.on_health(m_dialect.parse_health(reply),
                       m_dialect.parse_load(reply));
--- a/src/libyuccamast/http/health_checker.h
+++ b/src/libyuccamast/http/health_checker.h
@@ -36,6 +36,9 @@
   /// empty: health and load are then not reported.
   std::function<void(const HealthStatus&, const std::optional<UpstreamLoad>&)>
       on_health;
+  /// The rate limit that the same reply names, and when its probe was sent.
+  /// Called before `on_health`. May be empty.
+  std::function<void(const RateLimit&, TimePoint sent_at)> on_rate_limit;
   /// Whether the next periodic probe may be skipped, because its result is
   /// already known by other means. May be empty: never skip.
   std::function<bool()> skip_probe;
@@ -71,7 +74,7 @@
 
   /// Sets the health path for the next probes; empty: without a health path,
   /// see the file comment.
-  void SetHealthPath(const std::string& path) { m_health_path = path; }
+  void SetHealthPath(const std::string& path);
 
   bool draining() const { return m_draining; }
 
@@ -99,6 +102,7 @@
   std::shared_ptr<ProbeConnection> m_connection;  ///< Null if none is open.
   bool m_draining = false;
   bool m_connect_failed = false;  ///< A connect attempt failed, see above.
+  bool m_started = false;
   bool m_stopped = false;
 };
 
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -297,7 +297,13 @@
 void UpstreamRun::HandleReply(HttpReply reply,
                               bool more_may_follow,
                               bool reusable) {
-  switch (m_pool.m_dialect.classify_reply(reply, m_request.request_id)) {
+  const ReplyClass reply_class =
+      m_pool.m_dialect.classify_reply(reply, m_request.request_id);
+  if (m_hooks.reply_read && (reply_class == ReplyClass::kValid ||
+                             reply_class == ReplyClass::kNotRun)) {
+    m_hooks.reply_read(reply);
+  }
+  switch (reply_class) {
     case ReplyClass::kOtherRequest:
       if (!more_may_follow || ++m_skipped_replies > kMaxSkippedReplies) {
         Fail(RefusalReason::kUpstreamLost);
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -84,6 +84,9 @@
   /// The head of a final (not 1xx) reply was read. Called for each such reply,
   /// also for one to another request, which is then discarded.
   std::function<void()> reply_head;
+  /// A complete reply to this request was read, also one that states that the
+  /// request was not run. Called before `done`. May be empty.
+  std::function<void(const HttpReply&)> reply_read;
   /// Called exactly once, unless `start` returned false or the run was
   /// aborted.
   std::function<void(UpstreamResult)> done;
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -75,6 +75,7 @@
   kDocumentFetched,
   kDocumentFetchFailed,
   kDocumentFetchMoved,
+  kUpstreamRateLimit,
   kInternal,
 };
 
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -69,6 +69,9 @@
                              const std::optional<UpstreamLoad>& load) {
       OnHealthStatus(health, load);
     };
+    hooks.on_rate_limit = [this](const RateLimit& limit, TimePoint sent_at) {
+      OnRateLimit(limit, sent_at, true);
+    };
     hooks.skip_probe = [this] {
       return m_vm_speed.ReadingAge(Clock::now()) < kFreshLoadAge;
     };
@@ -80,6 +83,7 @@
 }
 
 void ExitCalls::Start() {
+  ResetRateLimit();
   ArmTick();
   if (m_health_checker != nullptr) {
     m_health_checker->Start();
@@ -225,37 +229,6 @@
   }
 }
 
-UpstreamRequest ExitCalls::BuildRequest(Call& call) const {
-  UpstreamRequest request;
-  request.method = call.offer.method;
-  request.target = call.offer.target;
-  request.fields = std::move(call.offer.fields);
-  request.body = std::move(call.offer.body);
-  request.idempotent = call.offer.idempotent;
-  const auto left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                           call.deadline - Clock::now())
-                           .count();
-  const Dialect& dialect = *m_settings.dialect;
-  if (!dialect.request_id_field.empty()) {
-    const std::string* id = FindField(request.fields, dialect.request_id_field);
-    request.request_id = id == nullptr ? "" : *id;
-  }
-  SetField(request.fields, dialect.deadline_field,
-           std::to_string(std::max<long>(left_ms, 1)));
-  if (!dialect.expected_upstream_field.empty()) {
-    SetField(request.fields, dialect.expected_upstream_field,
-             call.offer.upstream);
-  }
-  if (dialect.uses_yuccamast_fields) {
-    SetField(request.fields, kCallIdField, call.offer.call_id);
-    SetField(request.fields, kDepthField, std::to_string(call.offer.depth));
-    if (call.offer.retry) {
-      SetField(request.fields, kRetryField, "1");
-    }
-  }
-  return request;
-}
-
 void ExitCalls::ArmDeadline(const CallPtr& call) {
   call->deadline_timer.expires_at(call->deadline);
   call->deadline_timer.async_wait(
@@ -282,6 +255,10 @@
     return true;
   };
   hooks.reply_head = [call] { call->reply_head_read = true; };
+  hooks.reply_read = [this, call](const HttpReply& reply) {
+    OnRateLimit(m_settings.dialect->parse_rate_limit(reply), call->started_at,
+                false);
+  };
   hooks.done = [this, call](UpstreamResult result) {
     OnRunDone(call, std::move(result));
   };
@@ -465,6 +442,7 @@
   const TimePoint now = Clock::now();
   CheckPause(now);
   RefreshLimits();
+  ExpireUnknownRateLimit(now);
   const VmSpeed vm_speed = m_vm_speed.At(now);
   m_admission.SetVmSpeed(vm_speed);
   if (vm_speed.factor > 1.0 && m_admission.queued() > 0 &&
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -204,6 +204,14 @@
   /// Factor by which calls now take longer than usual, not counting the
   /// slowdown of the VM.
   double EstimateSlowdown(TimePoint now) const;
+  /// Takes what a reply says of the upstream's rate limit. `sent_at`: when its
+  /// request was sent.
+  void OnRateLimit(const RateLimit& limit, TimePoint sent_at, bool is_health);
+  /// Limits the starts until a reply tells the limit of the upstream.
+  void ResetRateLimit();
+  /// Lifts that limit if no reply came for too long.
+  void ExpireUnknownRateLimit(TimePoint now);
+  void SetRateLimit(const RateLimit& limit, std::string_view source);
   void OnHealthStatus(const HealthStatus& health,
                       const std::optional<UpstreamLoad>& load);
 
@@ -223,6 +231,10 @@
   boost::asio::steady_timer m_report_timer;  ///< Bounds that wait.
   /// Name that the upstream last gave on its health page; empty: none yet.
   std::string m_reported_upstream;
+  TimePoint m_limit_named_at{};       ///< Last reply that named a rate limit.
+  bool m_health_names_limit = false;  ///< Health replies name the limit, too.
+  bool m_limit_known = false;  ///< A reply has told whether there is one.
+  TimePoint m_limit_unknown_since{};
   bool m_listed_leaving = false;  ///< Leaving by the platform's list.
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_tickets;  ///< By stream key.
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -1,11 +1,14 @@
 #include <algorithm>
 
+#include "http/fields.h"
 #include "log/log.h"
+#include "node/exit_call.h"
 #include "node/exit_calls.h"
 
 /// \file exit_upstream.cpp
 /// State of the upstream beside an exit, as `ExitCalls` keeps it: its name,
-/// whether it is leaving, the speed of its VM, and the limits in force for it.
+/// whether it is leaving, the speed of its VM, the limits in force for it, and
+/// the requests that it is sent.
 
 namespace yuccamast {
 
@@ -16,6 +19,11 @@
 /// Maximum wait for a fresh reading: an upstream on the same VM answers within
 /// one or two milliseconds, and entries do not wait much longer for the report.
 constexpr Duration kReadingTimeout = std::chrono::milliseconds(4);
+/// Starts per second until a reply tells whether the upstream limits its rate:
+/// the limit may be from before a restart of this node.
+constexpr double kUnknownRateLimit = 4;
+/// Time without any reply after which the upstream counts as not limited.
+constexpr Duration kUnknownRateLimitTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -26,6 +34,52 @@
   }
 }
 
+void ExitCalls::SetRateLimit(const RateLimit& limit, std::string_view source) {
+  const TimePoint now = Clock::now();
+  const double before = m_admission.rate_limit();
+  m_admission.SetRateLimit(limit, now);
+  if (before != m_admission.rate_limit()) {
+    Log(LogLevel::kInfo, LogEvent::kUpstreamRateLimit,
+        {{"per_second", m_admission.rate_limit()},
+         {"before", before},
+         {"source", source}});
+  }
+}
+
+void ExitCalls::ResetRateLimit() {
+  m_limit_known = false;
+  m_limit_unknown_since = Clock::now();
+  m_health_names_limit = false;
+  SetRateLimit(kUnknownRateLimit, "unknown");
+}
+
+void ExitCalls::ExpireUnknownRateLimit(TimePoint now) {
+  if (!m_limit_known && now - m_limit_unknown_since >= kUnknownRateLimitTime) {
+    m_limit_known = true;
+    SetRateLimit(std::nullopt, "unknown");
+  }
+}
+
+void ExitCalls::OnRateLimit(const RateLimit& limit,
+                            TimePoint sent_at,
+                            bool is_health) {
+  const std::string_view source = is_health ? "health" : "reply";
+  if (limit) {
+    m_limit_known = true;
+    m_limit_named_at = Clock::now();
+    m_health_names_limit = m_health_names_limit || is_health;
+    SetRateLimit(limit, source);
+    return;
+  }
+  // A reply to an earlier request may be older than the one that named the
+  // limit.
+  const bool is_newer = !m_limit_known || sent_at > m_limit_named_at;
+  if (is_newer && (!is_health || m_health_names_limit || !m_limit_known)) {
+    m_limit_known = true;
+    SetRateLimit(std::nullopt, source);
+  }
+}
+
 void ExitCalls::OnHealthStatus(const HealthStatus& health,
                                const std::optional<UpstreamLoad>& load) {
   if (load) {
@@ -34,6 +88,9 @@
   if (!health.upstream.empty() && health.upstream != m_reported_upstream) {
     Log(LogLevel::kInfo, LogEvent::kUpstreamNamed,
         {{"upstream", health.upstream}, {"before", m_reported_upstream}});
+    if (!m_reported_upstream.empty()) {
+      ResetRateLimit();
+    }
     m_reported_upstream = health.upstream;
   }
 }
@@ -89,6 +146,37 @@
   return m_reported_upstream.empty() || upstream == m_reported_upstream;
 }
 
+UpstreamRequest ExitCalls::BuildRequest(Call& call) const {
+  UpstreamRequest request;
+  request.method = call.offer.method;
+  request.target = call.offer.target;
+  request.fields = std::move(call.offer.fields);
+  request.body = std::move(call.offer.body);
+  request.idempotent = call.offer.idempotent;
+  const auto left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           call.deadline - Clock::now())
+                           .count();
+  const Dialect& dialect = *m_settings.dialect;
+  if (!dialect.request_id_field.empty()) {
+    const std::string* id = FindField(request.fields, dialect.request_id_field);
+    request.request_id = id == nullptr ? "" : *id;
+  }
+  SetField(request.fields, dialect.deadline_field,
+           std::to_string(std::max<long>(left_ms, 1)));
+  if (!dialect.expected_upstream_field.empty()) {
+    SetField(request.fields, dialect.expected_upstream_field,
+             call.offer.upstream);
+  }
+  if (dialect.uses_yuccamast_fields) {
+    SetField(request.fields, kCallIdField, call.offer.call_id);
+    SetField(request.fields, kDepthField, std::to_string(call.offer.depth));
+    if (call.offer.retry) {
+      SetField(request.fields, kRetryField, "1");
+    }
+  }
+  return request;
+}
+
 void ExitCalls::RefreshLimits() {
   const auto view = m_view_store.Load();
   if (view == m_limits_view || view->config == nullptr) {
