Read from replies that an upstream is leaving

Callers' requests would reach an upstream later than the bound after its replies have said that it leaves (DRAIN), if its registration says so late or never: on the users' platform no reply counted as a sign of leaving.

Change: the platform's dialect reads the field, from every reply to a call, also one that was not run, and from the health page. It takes the way that leaving took already: the exit refuses offers as proven not run and tells the peers. A health reply to a probe that was sent before such a reply does not end it.

--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -77,6 +77,7 @@
 
 void HealthChecker::OnLeavingReply() {
   m_connect_failed = false;
+  m_leaving_reply_at = Clock::now();
   SetDraining(true);
 }
 
@@ -196,7 +197,9 @@
   } else {
     connection->stream.expires_never();
   }
-  SetDraining(m_dialect.indicates_leaving(reply));
+  // A health reply may be older than the reply that said so.
+  SetDraining(m_dialect.indicates_leaving(reply) ||
+              m_probe_sent_at < m_leaving_reply_at);
   if (m_hooks.on_rate_limit) {
     m_hooks.on_rate_limit(m_dialect.parse_rate_limit(reply), m_probe_sent_at);
   }
--- a/src/libyuccamast/http/health_checker.h
+++ b/src/libyuccamast/http/health_checker.h
@@ -103,6 +103,7 @@
   bool m_draining = false;
   bool m_connect_failed = false;  ///< A connect attempt failed, see above.
   bool m_started = false;
+  TimePoint m_leaving_reply_at{};  ///< See `OnLeavingReply`.
   bool m_stopped = false;
 };
 
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -256,6 +256,9 @@
   };
   hooks.reply_head = [call] { call->reply_head_read = true; };
   hooks.reply_read = [this, call](const HttpReply& reply) {
+    if (m_settings.dialect->indicates_leaving(reply)) {
+      m_health_checker->OnLeavingReply();
+    }
     OnRateLimit(m_settings.dialect->parse_rate_limit(reply), call->started_at,
                 false);
   };
@@ -277,9 +280,6 @@
 void ExitCalls::FinishRun(const CallPtr& call, UpstreamResult result) {
   const TimePoint now = Clock::now();
   HttpReply* response = std::get_if<HttpReply>(&result);
-  if (response != nullptr && m_settings.dialect->indicates_leaving(*response)) {
-    m_health_checker->OnLeavingReply();
-  }
   const Duration service_time = now - call->started_at;
   const bool started = call->state.step() == CallStep::kStarted;
   if (response == nullptr && IsFaultInjected(InjectedFault::kSlotLeak)) {
