Refuse registrations whose figures the VM list cannot hold

One odd registration, with a number too large, stopped all nodes but the readers from following the VM list: the reader accepted it, and its peers refused the whole list, since that bounds slots and the time of a slow start. A duration such as 1e300s was converted with an undefined result.

Deep nesting and ports out of range were refused already.

--- a/src/libyuccamast/source/published.cpp
+++ b/src/libyuccamast/source/published.cpp
@@ -21,8 +21,8 @@
   return std::nullopt;
 }
 
-constexpr IntRange kSlotRange{1, 1'000'000};
-constexpr IntRange kColdRangeMs{0, 3'600'000};
+constexpr IntRange kSlotRange{1, kMaxListedSlots};
+constexpr IntRange kColdRangeMs{0, kMaxListedCold.count()};
 
 ListedUpstream ReadListedUpstream(const JsonValue& value,
                                   std::vector<FieldError>* errors) {
--- a/src/libyuccamast/source/published.h
+++ b/src/libyuccamast/source/published.h
@@ -37,6 +37,11 @@
   std::vector<ConfigFile> files;
 };
 
+/// Largest values that `ParseVmList` accepts of an upstream.
+inline constexpr std::int64_t kMaxListedSlots = 1'000'000;
+inline constexpr std::chrono::milliseconds kMaxListedCold =
+    std::chrono::hours(1);
+
 /// An instance of an upstream as the platform registered it.
 struct ListedUpstream {
   std::string name;  ///< Of this instance; a restarted upstream has another.
