Take the rate limit of a new upstream from the reply that names it

A health reply from another upstream at the address set its rate limit and then, on its new name, the limit of an unknown upstream: four calls a second until the next probe, whatever the reply said. Now the name is taken first. Found by reading the change; no test failed for it. 154 unit tests and the rate limit tests pass.

--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -200,13 +200,13 @@
   // A health reply may be older than the reply that said so.
   SetDraining(m_dialect.indicates_leaving(reply) ||
               m_probe_sent_at < m_leaving_reply_at);
-  if (m_hooks.on_rate_limit) {
-    m_hooks.on_rate_limit(m_dialect.parse_rate_limit(reply), m_probe_sent_at);
-  }
   if (m_hooks.on_health) {
     m_hooks.on_health(m_dialect.parse_health(reply),
                       m_dialect.parse_load(reply));
   }
+  if (m_hooks.on_rate_limit) {
+    m_hooks.on_rate_limit(m_dialect.parse_rate_limit(reply), m_probe_sent_at);
+  }
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/http/health_checker.h
+++ b/src/libyuccamast/http/health_checker.h
@@ -37,7 +37,7 @@
   std::function<void(const HealthStatus&, const std::optional<UpstreamLoad>&)>
       on_health;
   /// The rate limit that the same reply names, and when its probe was sent.
-  /// Called before `on_health`. May be empty.
+  /// Called after `on_health`. May be empty.
   std::function<void(const RateLimit&, TimePoint sent_at)> on_rate_limit;
   /// Whether the next periodic probe may be skipped, because its result is
   /// already known by other means. May be empty: never skip.
