--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -392,9 +392,6 @@
 void CheckRules(Draft& draft, const Configuration& result) {
   bool all_paths_valid = true;
   for (const auto& [name, rule] : result.rules) {
-    const auto file = [&]() -> const std::string& {
-      return *draft.sections["rules"][name].file;
-    };
     CheckServiceName(draft, result, "rules", name, rule.service);
     for (const SplitPart& part : rule.split) {
       CheckServiceName(draft, result, "rules", name, part.service);
@@ -403,12 +400,13 @@
       CheckPrefix(draft, name, rule);
     } else if (!ParsePattern(rule.path)) {
       all_paths_valid = false;
-      Report(draft, file(), "rules." + name + ".path", ConfigFault::kBadPath,
-             rule.path);
+      Report(draft, *draft.sections["rules"][name].file,
+             "rules." + name + ".path", ConfigFault::kBadPath, rule.path);
     }
     if (!IsMethod(rule.method)) {
-      Report(draft, file(), "rules." + name + ".method",
-             ConfigFault::kUnknownName, rule.method);
+      Report(draft, *draft.sections["rules"][name].file,
+             "rules." + name + ".method", ConfigFault::kUnknownName,
+             rule.method);
     }
   }
   if (!all_paths_valid) {
