Test replies that are cut in their head or framing, and replies without end

Operators of similar systems saw a 200 with an empty or short body after an upstream had closed in the middle of the head. The tests cut replies at each byte, by an orderly close and by a reset: with a length, chunked with an extension and a trailer, after an interim reply, ended by the connection, and without a body. A head or a body without end is refused at its limit. The scripted server writes without blocking now, which a body of 9 MiB needs.

--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -41,28 +41,34 @@
   void Read(const std::shared_ptr<tcp::socket>& socket) {
     socket->async_read_some(boost::asio::buffer(m_buffer),
                             [this, socket](const auto& error, std::size_t) {
-                              if (error) {
-                                return;
+                              if (!error) {
+                                Respond(socket);
                               }
-                              if (m_requests < m_replies.size()) {
-                                boost::asio::write(
-                                    *socket,
-                                    boost::asio::buffer(m_replies[m_requests]));
-                              }
-                              ++m_requests;
-                              if (m_requests >= m_replies.size()) {
-                                Close(*socket);
-                                return;
-                              }
-                              Read(socket);
                             });
   }
 
+  void Respond(const std::shared_ptr<tcp::socket>& socket) {
+    const std::size_t index = m_requests++;
+    if (index >= m_replies.size()) {
+      Close(*socket);
+      return;
+    }
+    boost::asio::async_write(*socket, boost::asio::buffer(m_replies[index]),
+                             [this, socket](const auto& error, std::size_t) {
+                               if (error || m_requests >= m_replies.size()) {
+                                 Close(*socket);
+                                 return;
+                               }
+                               Read(socket);
+                             });
+  }
+
   void Close(tcp::socket& socket) const {
     if (m_reset) {
       socket.set_option(boost::asio::socket_base::linger(true, 0));
     }
-    socket.close();
+    boost::system::error_code ignored;
+    socket.close(ignored);
   }
 
   tcp::acceptor m_acceptor;
@@ -170,6 +176,67 @@
   }
 }
 
+// Guards against a cut head or body that is passed on as a whole reply. The
+// upstream closes the connection, orderly or by a reset, at each byte of
+// replies with each kind of framing: after an interim reply, in the status
+// line, in a field, after the blank line, in a chunk, its extension, and the
+// trailers. A body that ends with its connection has no end other than an
+// orderly close, so such a reply counts as cut up to the end of its head only.
+Test(upstream_pool, reply_cut_in_head_or_framing_is_never_delivered) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string chunks =
+      "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5;a=b\r\n01234\r\n"
+      "5\r\n56789\r\n0\r\nX-Sum: 1\r\n\r\n";
+  const std::string sized = "Content-Length: 10\r\n\r\n0123456789";
+  const auto expect_refused = [](const std::string& reply, std::size_t size) {
+    for (const bool reset : {false, true}) {
+      const Outcome outcome = RunRequest({reply.substr(0, size)}, reset);
+      cr_expect_eq(outcome.Body(), "refused", "cut at %zu", size);
+      cr_expect(InfoOf(outcome.Reason()).run_outcome == RunOutcome::kUnknown);
+      cr_expect_eq(outcome.requests, 1U);
+    }
+  };
+  for (const std::string& reply :
+       {head + sized, head + chunks, interim + head + sized}) {
+    for (std::size_t size = 0; size < reply.size(); ++size) {
+      expect_refused(reply, size);
+    }
+  }
+  for (std::size_t size = 0; size < head.size() + 2; ++size) {
+    expect_refused(head + "\r\nbody", size);
+  }
+  cr_expect_eq(RunRequest({head + chunks}).Body(), "0123456789");
+  cr_expect_eq(RunRequest({interim + head + sized}).Body(), "0123456789");
+}
+
+// Guards against a field that a cut head left incomplete: the connection is
+// closed within a field name or value, and the reply before it looks whole.
+Test(upstream_pool, status_without_body_is_refused_when_its_head_is_cut) {
+  for (const char* status : {"204 No Content", "304 Not Modified", "500 No"}) {
+    const std::string head = "HTTP/1.1 " + std::string(status) +
+                             "\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n";
+    for (std::size_t size = 0; size <= head.size(); ++size) {
+      const Outcome outcome = RunRequest({head.substr(0, size)});
+      cr_expect_eq(outcome.Body(), "refused", "%s cut at %zu", status, size);
+    }
+  }
+}
+
+// Guards against memory and a slot that an upstream takes without end: a head,
+// an interim reply or a body that goes on is ended at its limit.
+Test(upstream_pool, reply_without_end_is_refused_at_its_limit) {
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n";
+  const std::string endless_field =
+      start + "X: " + std::string(64U << 10U, 'x');
+  const std::string endless_body =
+      start + "Response-Seal: s\r\n\r\n" + std::string(9U << 20U, 'x');
+  cr_expect_eq(RunRequest({endless_field}).Body(), "refused");
+  cr_expect(RunRequest({endless_body}).Reason() ==
+            RefusalReason::kReplyTooLarge);
+}
+
 // Guards against giving up a call that may safely be moved: `Not-Executed` and
 // status 421 both state that the request was not run. Guards also against
 // taking them for a statement about this request if they do not name it.
