Answer requests that have arrived unread when a node stops

What callers saw: in a planned stop under load, a request on a connection that had just been accepted, or that had arrived on a kept connection, was cut off without an answer. A connection whose reply was being written at that moment stayed open and took a further request late in the drain.

Cause: StopAccepting accepted the backlog and then closed all connections in the idle phase. A request that is in the socket, but was not read yet, is in that phase; so is a new connection whose request is on its way. A connection in the writing phase was passed over and became idle after it.

Change: CallerConnection::Stop reads what has arrived, gives a new connection 300 ms for its first request, and ends a connection after the reply that it writes.

--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -7,7 +7,6 @@
 #include "http/fields.h"
 #include "http/tcp_options.h"
 #include "log/log.h"
-#include "yuccamast/json_value.h"
 
 namespace yuccamast {
 
@@ -23,14 +22,14 @@
 /// In kLingering: longest wait for the next input before the socket is closed.
 constexpr std::chrono::seconds kLingerTime{2};
 
+/// In a stop: longest wait for the first request of a new connection. Callers
+/// connect in order to send, so it is on its way.
+constexpr std::chrono::milliseconds kFirstRequestTime{300};
+
 bool IsBodyTooLarge(const error_code& error) {
   return error == http::error::body_limit;
 }
 
-bool MayHaveBody(std::uint32_t status) {
-  return status >= 200 && status != 204 && status != 304;
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -85,7 +84,7 @@
     // If a settings reload raised the idle timeout during the wait, callers
     // may rely on the new value: wait for the difference.
     const Duration current_limit = self->m_hooks.limits().idle_timeout;
-    if (current_limit > self->m_limits.idle_timeout) {
+    if (!self->m_stopping && current_limit > self->m_limits.idle_timeout) {
       const Duration remaining = current_limit - self->m_limits.idle_timeout;
       self->m_limits.idle_timeout = current_limit;
       self->ArmIdleTimer(remaining);
@@ -106,6 +105,7 @@
 
 void CallerConnection::ReadHead() {
   m_phase = Phase::kReading;
+  m_has_request = true;
   m_parser.emplace();
   m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_head_bytes));
   m_parser->body_limit(m_limits.max_body_bytes);
@@ -322,68 +322,6 @@
   }
 }
 
-CallerConnection::Response CallerConnection::BuildReply(
-    HttpReply reply,
-    const std::string& call_id) {
-  Response response;
-  response.version(m_http_version);
-  response.result(reply.status);
-  for (const HttpField& field : EndToEndFields(reply.fields)) {
-    response.insert(field.name, field.value);
-  }
-  if (m_dialect.uses_yuccamast_fields) {
-    response.set(std::string(kCallIdField), call_id);
-  }
-  if (m_is_head_method) {
-    const std::string* length = FindField(reply.fields, "content-length");
-    if (length != nullptr) {
-      response.set(http::field::content_length, *length);
-    }
-  } else if (MayHaveBody(reply.status)) {
-    response.set(http::field::content_length,
-                 std::to_string(reply.body.size()));
-    response.body() = std::move(reply.body);
-  }
-  return response;
-}
-
-CallerConnection::Response CallerConnection::BuildRefusal(
-    RefusalReason reason,
-    const std::string& call_id) {
-  const RefusalInfo& info = InfoOf(reason);
-  Response response;
-  response.version(m_http_version);
-  response.result(info.status);
-  response.set(std::string(kOutcomeField),
-               std::string(NameOf(info.run_outcome)));
-  response.set(std::string(kReasonField), std::string(info.name));
-  if (!call_id.empty()) {
-    response.set(std::string(kCallIdField), call_id);
-  }
-  if (!m_request_id.empty()) {
-    response.set(m_dialect.request_id_field, m_request_id);
-  }
-  JsonValue::Object body{{"outcome", NameOf(info.run_outcome)},
-                         {"reason", info.name},
-                         {"call_id", call_id}};
-  if (info.retry_after) {
-    const Duration wait = m_hooks.retry_after();
-    response.set(http::field::retry_after, m_dialect.retry_after(wait));
-    body.push_back(
-        {"retry_after_ms",
-         std::int64_t{
-             std::chrono::duration_cast<std::chrono::milliseconds>(wait)
-                 .count()}});
-  }
-  response.set(http::field::content_type, "application/json");
-  const std::string text = WriteJson(body) + "\n";
-  response.set(http::field::content_length, std::to_string(text.size()));
-  if (!m_is_head_method) {
-    response.body() = text;
-  }
-  return response;
-}
-
 void CallerConnection::RefuseReadError(const error_code& error) {
   if (m_timed_out) {
     Refuse(RefusalReason::kRequestTimeout);
@@ -449,6 +387,9 @@
     return;
   }
   WaitForRequest();
+  if (m_stopping) {
+    Stop();
+  }
 }
 
 void CallerConnection::DiscardInput() {
@@ -471,6 +412,23 @@
       });
 }
 
+void CallerConnection::Stop() {
+  m_stopping = true;
+  if (m_phase != Phase::kIdle) {
+    return;
+  }
+  error_code error;
+  const bool has_input = m_stream.socket().available(error) > 0;
+  if (!error && has_input) {
+    return;  // The pending wait reads the request.
+  }
+  if (m_has_request) {
+    Close();
+  } else {
+    ArmIdleTimer(kFirstRequestTime);
+  }
+}
+
 void CallerConnection::CloseIfIdle() {
   if (m_phase == Phase::kIdle) {
     Close();
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -124,9 +124,11 @@
   /// Starts to wait for the first request. Call once, on a connected socket.
   void Start();
 
-  /// Closes the connection at once if it waits for a request, so that a
-  /// stopping node need not wait for it. Otherwise does nothing.
-  void CloseIfIdle();
+  /// Ends the connection for a stopping node as soon as nothing is lost by it:
+  /// a request that has arrived, also one that was not read yet, is still
+  /// handled, and a new connection may send its first request for a short time.
+  /// No further request is taken after that. Precondition: `Start` was called.
+  void Stop();
 
   /// Answers with a refusal without reading a request, then closes. Call
   /// instead of `Start`.
@@ -152,6 +154,7 @@
 
   void WaitForRequest();
   void ArmIdleTimer(Duration limit);
+  void CloseIfIdle();
   void OnRequestReadable(const boost::system::error_code& error);
   void ArmReadTimer(Duration limit);
   void DiscardInput();
@@ -188,6 +191,8 @@
   std::size_t m_discarded_bytes = 0;  ///< Read in kLingering.
   std::string m_request_id;  ///< From `Dialect::request_id_field`, or empty.
   bool m_keep_alive = true;
+  bool m_stopping = false;     ///< `Stop` was called.
+  bool m_has_request = false;  ///< At least one request has begun to arrive.
   bool m_from_own_vm = false;
   bool m_timed_out = false;  ///< The read timer cancelled the read.
   bool m_is_head_method = false;
--- /dev/null
+++ b/src/libyuccamast/http/caller_connection_test.cpp
@@ -0,0 +1,146 @@
+#include "http/caller_connection.h"
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+using namespace yuccamast;  // NOLINT
+using boost::asio::ip::tcp;
+
+namespace {
+
+const std::string kRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A caller and a connection of the entry that answers each request with 200
+/// and a body of `body_bytes`.
+class Caller {
+ public:
+  explicit Caller(std::size_t body_bytes = 1)
+      : m_acceptor(m_io,
+                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        m_socket(m_io) {
+    m_hooks.handle_call = [this, body_bytes](
+                              const CallerRequest&,
+                              const std::function<void(CallerReply)>& done) {
+      ++m_calls;
+      HttpReply reply;
+      reply.status = 200;
+      reply.body.assign(body_bytes, 'x');
+      done({"id", std::move(reply)});
+      return CallHandle();
+    };
+    m_hooks.leaving = [this] { return m_leaving; };
+    m_hooks.on_closed = [this](CallerConnection*) { m_closed = true; };
+    m_hooks.retry_after = [] { return std::chrono::milliseconds(100); };
+    m_hooks.limits = [] { return CallerLimits(); };
+    m_socket.connect(m_acceptor.local_endpoint());
+    m_connection = std::make_shared<CallerConnection>(
+        m_acceptor.accept(), DefaultDialect(), m_budget, m_metrics, m_hooks);
+    m_connection->Start();
+  }
+
+  void Send(const std::string& text) {
+    boost::asio::write(m_socket, boost::asio::buffer(text));
+  }
+
+  /// Runs the connection for a while.
+  void Run(std::chrono::milliseconds time = std::chrono::milliseconds(100)) {
+    m_io.restart();
+    m_io.run_for(time);
+  }
+
+  /// What a planned stop does to the connection.
+  void Stop() {
+    m_leaving = true;
+    m_connection->Stop();
+  }
+
+  /// Reads what the connection sends until `size` bytes came or it ends.
+  std::string Read(std::size_t size) {
+    std::string text(size, '\0');
+    std::size_t length = 0;
+    boost::system::error_code error;
+    boost::asio::async_read(m_socket, boost::asio::buffer(text),
+                            [&](const auto& result, std::size_t read) {
+                              error = result;
+                              length = read;
+                            });
+    Run(std::chrono::milliseconds(500));
+    m_socket.cancel();
+    Run();
+    text.resize(length);
+    return text;
+  }
+
+  int calls() const { return m_calls; }
+  bool closed() const { return m_closed; }
+
+ private:
+  boost::asio::io_context m_io;
+  tcp::acceptor m_acceptor;
+  tcp::socket m_socket;
+  MemoryBudget m_budget{64U << 20U};
+  Metrics m_metrics;
+  CallerHooks m_hooks;
+  std::shared_ptr<CallerConnection> m_connection;
+  bool m_leaving = false;
+  bool m_closed = false;
+  int m_calls = 0;
+};
+
+}  // namespace
+
+// Guards against a planned stop that cuts off a request which has arrived, but
+// which the process has not begun to read.
+Test(caller_connection, stop_answers_a_request_that_has_arrived) {
+  Caller caller;
+  caller.Send(kRequest);
+  caller.Stop();
+  const std::string reply = caller.Read(4096);
+  cr_expect_eq(caller.calls(), 1);
+  cr_expect(reply.starts_with("HTTP/1.1 200"), "%s", reply.c_str());
+  cr_expect_neq(reply.find("Connection: close"), std::string::npos);
+}
+
+// Guards against a planned stop that cuts off the request of a connection that
+// was accepted a moment ago: callers open a connection to send a request.
+Test(caller_connection, stop_waits_for_the_first_request_of_a_connection) {
+  Caller caller;
+  caller.Run();
+  caller.Stop();
+  caller.Run();
+  cr_assert_not(caller.closed());
+  caller.Send(kRequest);
+  cr_expect(caller.Read(4096).starts_with("HTTP/1.1 200"));
+  cr_expect_eq(caller.calls(), 1);
+}
+
+// Guards against a connection that stays open for the whole stop and takes a
+// request when too little time is left for it: its reply was being written when
+// the node stopped accepting, so it was not idle then.
+Test(caller_connection, stop_ends_a_connection_whose_reply_is_being_written) {
+  const std::size_t body_bytes = 32U << 20U;
+  Caller caller(body_bytes);
+  caller.Send(kRequest);
+  caller.Run();
+  cr_assert_eq(caller.calls(), 1);
+  caller.Stop();
+  cr_expect_geq(caller.Read(body_bytes + 4096).size(), body_bytes);
+  cr_expect(caller.closed());
+  cr_expect_eq(caller.calls(), 1);
+}
+
+// Guards against a stop that waits for a connection that sends nothing.
+Test(caller_connection, stop_closes_idle_connections) {
+  Caller kept;
+  kept.Send(kRequest);
+  kept.Run();
+  kept.Stop();
+  kept.Run();
+  cr_expect(kept.closed());
+  Caller silent;
+  silent.Stop();
+  silent.Run(std::chrono::seconds(1));
+  cr_expect(silent.closed());
+}
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -284,8 +284,7 @@
     m_acceptor.close(ignored);
   }
   const auto callers = m_callers;
-  std::ranges::for_each(callers,
-                        [](const auto& item) { item.second->CloseIfIdle(); });
+  std::ranges::for_each(callers, [](const auto& item) { item.second->Stop(); });
 }
 
 std::vector<std::string> EntryWorker::CallIds() const {
