Refuse late calls of a planned stop instead of cutting them

What callers saw: a request whose head began to arrive before the node stopped accepting, and ended late in the drain, was passed on and cut when the process ended: a booking had run and its caller was told 'unknown'. And work that still ran beside the stopping node failed, since the calls that it makes found no listener.

Cause: after the announcement the entry took any request, whatever its deadline, but closed its listener at once, also to the upstream on its own VM.

Change: from the end of the announcement on the entry refuses calls whose deadline is after the end of the stop (leaving, not run), and it goes on listening until no call runs beside the node. The exit admits only calls that end before that, so the calls of these end before it, too. The last 100 ms are left to write answers.

Not changed: a call that arrives during the announcement is taken whatever its deadline, and may be cut if it outlasts the drain.

--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -92,6 +92,8 @@
   const StepHook& at_step;
   /// Service of this VM according to the current settings.
   std::function<std::string()> local_service;
+  /// Calls whose deadline is later are refused as leaving.
+  std::function<TimePoint()> admit_until;
   /// Ids of the calls that run at the upstream beside this node.
   const RunningCallIds* running_call_ids = nullptr;
 };
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -124,6 +124,9 @@
         allowed, std::chrono::milliseconds(*m_caller_remaining_ms));
   }
   m_deadline = m_received_at + allowed;
+  if (m_deadline > m_context.admit_until()) {
+    return RefusalReason::kLeaving;
+  }
   SetObjective();
   return std::nullopt;
 }
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -59,6 +59,7 @@
                 {},
                 {},
                 shared.at_step,
+                {},
                 {}},
       m_pause_detector(kPauseThreshold, kPauseSettleTime, Clock::now()) {
   std::seed_seq seed{boot_id, boot_id >> 32U};
@@ -67,6 +68,9 @@
     return FindOrAddLink(endpoint);
   };
   m_context.running_call_ids = &shared.running_call_ids;
+  m_context.admit_until = [this] {
+    return m_shared.admit_until.load(std::memory_order_relaxed);
+  };
   m_context.local_service = [this] { return *m_shared.service.load(); };
   m_context.check_view_stale = [this] {
     const TimePoint now = Clock::now();
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -41,6 +41,8 @@
   /// Service of this VM; changes when the settings are reloaded.
   std::atomic<std::shared_ptr<const std::string>> service;
   std::atomic<bool> leaving{false};
+  /// Calls that may end later are refused, since the node stops then.
+  std::atomic<TimePoint> admit_until{TimePoint::max()};
   std::atomic<std::size_t> connections{0};  ///< Open ones, of all workers.
   /// Calls that run at the upstream beside this node.
   RunningCallIds running_call_ids{};
@@ -69,8 +71,9 @@
 
   // The methods below are for the worker's own thread; see RunOnWorkerThread.
 
-  /// Closes the listener and the callers' idle connections. Connections that
-  /// the kernel has already accepted are served.
+  /// Closes the listener, and the callers' connections as soon as nothing is
+  /// lost by it, see `CallerConnection::Stop`. Connections that the kernel has
+  /// already accepted are served.
   void StopAccepting();
   /// Number of calls in progress.
   std::size_t calls() const { return m_calls.size(); }
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kThreadReplyTimeout = std::chrono::milliseconds(500);
 /// The settings file is polled, since it may change without a signal.
 constexpr Duration kSettingsPollPeriod = std::chrono::milliseconds(1000);
+/// Time between the last deadline that a stopping node admits and the end of
+/// its drain, in which the answer is written.
+constexpr Duration kLastReplyTime = std::chrono::milliseconds(100);
 /// Maximum time that peers have to close their connections after a GOAWAY.
 constexpr Duration kPeerCloseTimeout = std::chrono::milliseconds(500);
 
@@ -188,7 +191,8 @@
   m_entry.leaving = true;
   const StopLimits& stop = m_settings.stop;
   const Duration admit = std::min(stop.admit, stop.announce);
-  const TimePoint end = Clock::now() + stop.announce + stop.drain;
+  const TimePoint end =
+      Clock::now() + stop.announce + stop.drain - kLastReplyTime;
   RunOnExitThread([this, end] { m_exit->calls().AdmitOnlyUntil(end); });
   const auto start_leaving = [this, remaining = stop.announce - admit] {
     RunOnExitThread([this] { m_exit->calls().StartLeaving(); });
@@ -215,15 +219,26 @@
 void Node::BeginDrain() {
   m_phase = StopPhase::kDraining;
   m_stop_deadline = Clock::now() + m_settings.stop.drain;
+  m_entry.admit_until = m_stop_deadline - kLastReplyTime;
+  CheckDrained();
+}
+
+void Node::StopAccepting() {
+  m_accepting = false;
   std::ranges::for_each(m_workers, [](const auto& worker) {
     EntryWorker* raw = worker.get();
     worker->RunOnWorkerThread([raw] { raw->StopAccepting(); },
                               kThreadReplyTimeout);
   });
-  CheckDrained();
 }
 
 void Node::CheckDrained() {
+  const auto exit_drained = std::make_shared<std::atomic<bool>>(false);
+  RunOnExitThread(
+      [this, exit_drained] { *exit_drained = m_exit->calls().Drained(); });
+  if (m_accepting && *exit_drained) {
+    StopAccepting();
+  }
   const auto pending = std::make_shared<std::atomic<std::size_t>>(0);
   std::ranges::for_each(m_workers, [&](const auto& worker) {
     EntryWorker* raw = worker.get();
@@ -232,10 +247,7 @@
         kThreadReplyTimeout);
     *pending += ran ? 0 : 1;
   });
-  const bool exit_ran = RunOnExitThread(
-      [this, pending] { *pending += m_exit->calls().Drained() ? 0 : 1; });
-  *pending += exit_ran ? 0 : 1;
-  if (*pending == 0) {
+  if (*pending == 0 && *exit_drained && !m_accepting) {
     FinishStop(false);
     return;
   }
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -28,9 +28,10 @@
 ///    the first `StopLimits::admit` the exit admits offers whose deadline lies
 ///    before the end of the stop; then it refuses all new offers, and peers are
 ///    told that the node is leaving.
-/// 2. Draining, for at most `StopLimits::drain`. The entries accept no new
-///    connections; the node waits until no call and no connection of a caller
-///    is left.
+/// 2. Draining, for at most `StopLimits::drain`. The entries refuse calls whose
+///    deadline lies after the end of the stop. Once no call runs beside the
+///    node, they accept no new connections; the node waits until no call and
+///    no connection of a caller is left.
 /// 3. Stopped. Peers get a GOAWAY and a moment to close their connections; then
 ///    everything is closed and `Run` returns.
 /// If calls or connections of callers are left after the drain time, or at a
@@ -95,10 +96,13 @@
   void ReloadSettings(bool by_signal);
   void BeginStop();
   void ArmStopTimer(Duration wait, std::function<void()> then);
+  /// From here on the entry refuses calls that may outlast the stop.
   void BeginDrain();
-  /// Finishes the stop if nothing is left or the drain time is over; else
-  /// checks again a moment later.
+  /// Stops accepting callers once no call runs beside the node, since work that
+  /// runs there may make calls. Finishes the stop if nothing is left or the
+  /// drain time is over; else checks again a moment later.
   void CheckDrained();
+  void StopAccepting();
   void FinishStop(bool overrun);
   void LogRemainingCalls();
   /// Runs `work` on the exit thread and waits for it. Returns false if it did
@@ -133,7 +137,8 @@
   std::unique_ptr<ControlServer> m_control_server;
   std::atomic<StopPhase> m_phase{StopPhase::kServing};
   TimePoint m_stop_deadline;
-  bool m_overrun = false;  ///< See the file comment.
+  bool m_accepting = true;  ///< Connections of callers.
+  bool m_overrun = false;   ///< See the file comment.
 };
 
 }  // namespace yuccamast
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -37,7 +37,9 @@
   /// told that the node is leaving. A value above `announce` counts as
   /// `announce`.
   Duration admit{};
-  /// For this time entries still accept connections and calls.
+  /// For this time entries still accept all calls. Afterwards they accept those
+  /// whose deadline is before `drain` is over, and new connections as long as
+  /// calls run beside the node.
   Duration announce = std::chrono::milliseconds(2000);
   /// Maximum time after `announce` for calls and connections to end.
   Duration drain = std::chrono::seconds(30);
