Space the reads of the platform's store by the number of readers

Cause: two readers in each data centre poll the store, each at most every 400 ms. While its data changes all the time, as with hundreds of upstreams, that is 30 reads a second with 12 readers. Readers whose polls return at the same change also stay in step: for the rest of the interval none polls.

Change: a reader draws the time until its next poll, uniformly up to 0.2 s times the number of readers, 2.4 s at most, which is the time a poll may be held anyway. The ranking of the members that decides who reads is done five times a second instead of twenty.

Measured: unit test reader_rank::polls_of_all_readers_keep_to_a_rate (limit 12 reads a second), with the fixed interval: 15.0 with 6 readers, 20.0 with 8, 30.0 with 12; now it passes, and the mean time until some reader polls stays under 0.25 s.

--- a/include/yuccamast/membership/reader_rank.h
+++ b/include/yuccamast/membership/reader_rank.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "yuccamast/clock.h"
 #include "yuccamast/membership/membership.h"
 
 /// \file reader_rank.h
@@ -16,6 +17,14 @@
 /// members that it sees. Where views differ, a few nodes more or fewer read for
 /// a while, which is harmless. The number of readers grows with the number of
 /// data centres, not with that of nodes.
+///
+/// Readers long-poll. While the platform's data changes all the time, each poll
+/// returns at once, so the polls are spaced: each reader draws a random time
+/// until its next poll, whose mean grows with the number of readers. All
+/// readers together then poll at most `kFleetPollsPerSecond` times a second
+/// however many they are, and a change is still read soon, by the first reader
+/// that polls. Fixed times would not do: readers whose polls return at the same
+/// change would stay in step, and none would poll until all do.
 
 namespace yuccamast {
 
@@ -27,4 +36,22 @@
 /// `membership`.
 bool IsPlatformReader(const Membership& membership);
 
+/// Number of nodes that read from the platform in all data centres, by this
+/// node's view. Linear in the number of members. As thread-safe as
+/// `membership`.
+std::size_t CountPlatformReaders(const Membership& membership);
+
+/// Rate of polls of all readers together, up to 12 readers; beyond that
+/// `kMaxPollInterval` takes precedence.
+inline constexpr double kFleetPollsPerSecond = 10;
+
+/// Longest time between the starts of two polls of a reader, as long as the
+/// polls return at once.
+inline constexpr Duration kMaxPollInterval = std::chrono::milliseconds(2400);
+
+/// Time from the start of one poll of a reader to that of the next. `readers`
+/// is the number of readers, itself included; `uniform` a random number in
+/// [0, 1). Thread-safe.
+Duration ReaderPollInterval(std::size_t readers, double uniform);
+
 }  // namespace yuccamast
--- a/src/libyuccamast/membership/membership_test.cpp
+++ b/src/libyuccamast/membership/membership_test.cpp
@@ -404,6 +404,47 @@
   cr_expect_leq(readers, 9U * (kReadersPerDataCentre + 2));
 }
 
+// Load pattern: the platform's data changes all the time, so that each poll
+// returns at once. Guards against a cost that grows with the number of data
+// centres, and against readers that all wait while a change is due.
+Test(reader_rank, polls_of_all_readers_keep_to_a_rate) {
+  std::mt19937 random(7);
+  std::uniform_real_distribution<double> uniform;
+  const double seconds = 300;
+  for (const std::size_t readers : {2U, 6U, 8U, 12U}) {
+    std::vector<double> polls;
+    for (std::size_t i = 0; i < readers; ++i) {
+      double time = 0;
+      while (time < seconds) {
+        const auto interval = std::chrono::duration<double>(
+            ReaderPollInterval(readers, uniform(random)));
+        cr_assert_lt(interval.count(), 2.4);
+        time += std::max(interval.count(), 0.001);
+        polls.push_back(time);
+      }
+    }
+    std::ranges::sort(polls);
+    const double rate = static_cast<double>(polls.size()) / seconds;
+    cr_expect_lt(rate, 1.2 * kFleetPollsPerSecond, "%zu readers: %f", readers,
+                 rate);
+    double wait = 0;  // Time to the next poll, summed over all times.
+    for (std::size_t i = 1; i < polls.size(); ++i) {
+      wait += (polls[i] - polls[i - 1]) * (polls[i] - polls[i - 1]) / 2;
+    }
+    cr_expect_lt(wait / seconds, 0.25, "%zu readers: %f", readers, wait);
+  }
+}
+
+// Guards against nodes that disagree on the rate since they count differently.
+Test(reader_rank, nodes_count_the_readers_of_all_data_centres) {
+  Network network(60, 3, 11);
+  network.Run(std::chrono::seconds(15));
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    cr_expect_eq(CountPlatformReaders(network.At(i)),
+                 9U * kReadersPerDataCentre);
+  }
+}
+
 Test(pause_detector, returns_a_pause_once_and_settles) {
   const TimePoint start{std::chrono::hours(1)};
   PauseDetector detector(milliseconds(300), milliseconds(50), start);
--- a/src/libyuccamast/membership/reader_rank.cpp
+++ b/src/libyuccamast/membership/reader_rank.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 
 namespace yuccamast {
 
@@ -12,6 +13,12 @@
   return XXH3_64bits(vm.data(), vm.size());
 }
 
+/// Members that this node has not heard from yet count, too. Otherwise every
+/// node would read from the platform while a whole fleet starts at once.
+bool MayRead(const Member& member) {
+  return member.state() == MemberState::kLive && !member.record.leaving;
+}
+
 }  // namespace
 
 bool IsPlatformReader(const Membership& membership) {
@@ -20,15 +27,36 @@
   const auto higher_ranked =
       std::ranges::count_if(membership.members(), [&](const auto& item) {
         const Member& member = item.second;
-        // Members that this node has not heard from yet count, too. Otherwise
-        // every node would read from the platform while a whole fleet starts
-        // at once.
-        const bool reads =
-            member.state() == MemberState::kLive && !member.record.leaving;
-        return reads && member.record.data_centre == self.data_centre &&
+        return MayRead(member) &&
+               member.record.data_centre == self.data_centre &&
                RankOf(item.first) > own;
       });
   return higher_ranked < static_cast<std::ptrdiff_t>(kReadersPerDataCentre);
 }
 
+std::size_t CountPlatformReaders(const Membership& membership) {
+  std::map<std::string_view, std::size_t> readers_by_data_centre;
+  readers_by_data_centre[membership.self().data_centre] = 1;
+  std::ranges::for_each(membership.members(), [&](const auto& item) {
+    std::size_t& readers =
+        readers_by_data_centre[item.second.record.data_centre];
+    if (MayRead(item.second) && readers < kReadersPerDataCentre) {
+      ++readers;
+    }
+  });
+  std::size_t sum = 0;
+  std::ranges::for_each(readers_by_data_centre,
+                        [&](const auto& item) { sum += item.second; });
+  return sum;
+}
+
+Duration ReaderPollInterval(std::size_t readers, double uniform) {
+  // Uniform between 0 and twice the mean.
+  const std::chrono::duration<double> range(2 * static_cast<double>(readers) /
+                                            kFleetPollsPerSecond);
+  const Duration limit =
+      std::min(std::chrono::duration_cast<Duration>(range), kMaxPollInterval);
+  return std::chrono::duration_cast<Duration>(limit * uniform);
+}
+
 }  // namespace yuccamast
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -22,6 +22,8 @@
 /// has heard `kJoinPeerCount` peers, or `kJoinTimeout` after its first VM list.
 constexpr Duration kJoinTimeout = std::chrono::seconds(2);
 constexpr std::size_t kJoinPeerCount = 3;
+/// Period of the ranking of all members that decides who reads the platform.
+constexpr Duration kReaderCheckPeriod = std::chrono::milliseconds(200);
 /// A node unconfigured for this long reads the configuration, reader or not.
 constexpr Duration kUnconfiguredReadDelay = std::chrono::seconds(3);
 /// Maximum time for which the view stays marked stale after a pause.
@@ -135,7 +137,7 @@
 
 SourceHooks ControlPlane::MakeSourceHooks() {
   SourceHooks hooks;
-  hooks.is_reader = [this] { return m_is_reader.load(); };
+  hooks.reader_count = [this] { return m_reader_count.load(); };
   hooks.on_reachable = [this](bool reachable) {
     asio::post(m_io, [this, reachable] { OnSourceReachable(reachable); });
   };
@@ -428,6 +430,15 @@
   }
 }
 
+void ControlPlane::UpdateReaderCount(TimePoint now) {
+  if (m_vm_list == nullptr || now < m_reader_check_due) {
+    return;
+  }
+  m_reader_check_due = now + kReaderCheckPeriod;
+  m_reader_count =
+      IsPlatformReader(m_membership) ? CountPlatformReaders(m_membership) : 0;
+}
+
 void ControlPlane::OnTick() {
   const TimePoint now = Clock::now();
   CheckPause(now);
@@ -446,8 +457,8 @@
   if (m_vm_list_retention.EndIfExpired(now)) {
     SubmitSourceVmList();
   }
-  const bool reader = m_vm_list != nullptr && IsPlatformReader(m_membership);
-  m_is_reader = reader;
+  UpdateReaderCount(now);
+  const bool reader = m_reader_count > 0;
   const bool small_fleet = m_source.is_strongly_consistent &&
                            m_membership.members().size() < kSmallFleetSize;
   const bool unconfigured = m_config_selector.in_force() == nullptr &&
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -131,6 +131,8 @@
   bool MayApplySourceConfig() const;
   void ArmTick();
   void OnTick();
+  /// Ranks the members anew, once a period, to see who reads the platform.
+  void UpdateReaderCount(TimePoint now);
   /// Marks the view stale if this thread did not run for a while.
   void CheckPause(TimePoint now);
   /// Ends the stale mark once the node has heard from peers and its fetches are
@@ -161,8 +163,9 @@
   /// Peer in another data centre with a newer VM list, and since when.
   std::optional<DocumentHolder> m_remote_holder;
   TimePoint m_remote_holder_since{};
+  TimePoint m_reader_check_due{};
   /// The next four are read by the hooks of the source, on any thread.
-  std::atomic<bool> m_is_reader{false};
+  std::atomic<std::size_t> m_reader_count{0};  ///< 0: this node is none.
   std::atomic<bool> m_reads_config{false};
   std::atomic<bool> m_reads_vm_list{true};
   /// Newest revision in force or refused; the source waits for a newer one.
--- a/src/libyuccamast/source/platform_watcher.h
+++ b/src/libyuccamast/source/platform_watcher.h
@@ -33,9 +33,10 @@
   std::function<bool()> reads_config;
   /// Whether the source should read the VM list now.
   std::function<bool()> reads_vm_list;
-  /// Whether this node is a designated reader, whose reads other nodes depend
-  /// on. A node that reads without being designated may do so less often.
-  std::function<bool()> is_reader;
+  /// Number of designated readers, whose reads other nodes depend on, if this
+  /// node is one of them; else 0. A node that reads without being designated
+  /// may do so less often.
+  std::function<std::size_t()> reader_count;
   /// The highest revision of the configuration that the node has accepted or
   /// refused; it needs only newer ones.
   std::function<std::uint64_t()> known_revision;
