Check idle links rarely, and soon after a call on one

Cause of a cost that grows with the fleet: a node has a link to each node that it ever called and one from each that called it, up to 588 at 295 nodes. Both ends of an idle link sent a PING every two seconds and acknowledged the other's, across data centres too, and each end held a read buffer of 16 KiB. A node of the large site serves six requests a second, so this was much of what it did, and 18 to 25 MB at the peak. It did not even find losses in time: a call on a link that had been idle waited for the next check, up to two seconds, before its silence was noticed.

Change: idle links are checked every ten seconds; the first stream of an idle link brings the check forward to silence_floor (300 ms), at both ends. A session waits for input without a buffer, and the sessions of a thread share one.

Measured, unit tests link, on the old code: [FAIL] idle_link_sends_nothing_for_seconds: (peer.available()) == (greeting) [FAIL] silent_peer_is_suspect_soon_after_a_call_on_an_idle_link: client->suspect() is false now 11 of 11 pass, and all 165 unit and 31 system tests.

--- a/src/libyuccamast/link/link_test.cpp
+++ b/src/libyuccamast/link/link_test.cpp
@@ -210,3 +210,44 @@
   }
   cr_expect_not(Unpack<OfferMessage>(Pack(std::string("x"))).has_value());
 }
+
+// Load pattern: hundreds of links to peers that are rarely called. Guards
+// against a cost at rest that grows with the fleet: a link without streams
+// sends nothing for seconds.
+Test(link, idle_link_sends_nothing_for_seconds) {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket socket(io);
+  socket.connect(acceptor.local_endpoint());
+  tcp::socket peer = acceptor.accept();
+  const auto client =
+      std::make_shared<LinkClient>(std::move(socket), LinkOptions());
+  client->Run([] {});
+  io.run_for(std::chrono::milliseconds(100));
+  const std::size_t greeting = peer.available();
+  cr_expect_gt(greeting, 0U);
+  io.run_for(std::chrono::seconds(5));
+  cr_expect_eq(peer.available(), greeting);
+  client->Close();
+  io.run_for(std::chrono::milliseconds(10));
+}
+
+// Guards against a call that waits for the next check of an idle link before it
+// is known that the peer is silent.
+Test(link, silent_peer_is_suspect_soon_after_a_call_on_an_idle_link) {
+  LinkOptions options;
+  options.ping_idle = std::chrono::seconds(60);
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket socket(io);
+  socket.connect(acceptor.local_endpoint());
+  const tcp::socket peer = acceptor.accept();
+  const auto client = std::make_shared<LinkClient>(std::move(socket), options);
+  client->Run([] {});
+  io.run_for(std::chrono::milliseconds(100));
+  client->Send(LinkPath::kCall, "x", [](StreamOutcome, const std::string&) {});
+  io.run_for(4 * options.silence_floor);
+  cr_expect(client->suspect());
+  client->Close();
+  io.run_for(std::chrono::milliseconds(10));
+}
--- a/src/libyuccamast/link/session.cpp
+++ b/src/libyuccamast/link/session.cpp
@@ -18,6 +18,8 @@
 constexpr std::int32_t kConnectionWindowBytes = 16 << 20;
 /// Frames are gathered into one write until it reaches this size.
 constexpr std::size_t kMaxWriteBytes = 64U << 10U;
+/// Largest single read.
+constexpr std::size_t kReadBytes = 16U << 10U;
 
 }  // namespace
 
@@ -179,6 +181,7 @@
 void LinkSession::Start() {
   boost::system::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
+  m_socket.non_blocking(true, ignored);
   m_remote = m_socket.remote_endpoint(ignored);
   const std::array<nghttp2_settings_entry, 2> settings = {{
       {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_options.max_streams},
@@ -206,25 +209,42 @@
   return provider;
 }
 
+LinkSession::Stream& LinkSession::AddStream(std::int32_t id) {
+  const TimePoint check_at = Clock::now() + m_options.silence_floor;
+  if (m_streams.empty() && m_ping_timer.expiry() > check_at) {
+    ArmPing(m_options.silence_floor);
+  }
+  return m_streams[id];
+}
+
 void LinkSession::Read() {
-  m_socket.async_read_some(
-      asio::buffer(m_read_buffer),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t size) {
-        if (self->m_closed) {
-          return;
-        }
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->Receive(self->m_read_buffer.data(), size);
+  // Waits without a buffer: a node has hundreds of links, of which most are
+  // idle, and all sessions of a thread can share one.
+  m_socket.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& error) {
         if (!self->m_closed) {
-          self->Read();
+          self->OnReadable(error);
         }
       });
 }
 
+void LinkSession::OnReadable(boost::system::error_code error) {
+  thread_local std::array<std::uint8_t, kReadBytes> buffer;
+  const std::size_t size =
+      error ? 0 : m_socket.read_some(asio::buffer(buffer), error);
+  if (error && error != asio::error::would_block) {
+    Close();
+    return;
+  }
+  if (size > 0) {
+    Receive(buffer.data(), size);
+  }
+  if (!m_closed) {
+    Read();
+  }
+}
+
 void LinkSession::Receive(const std::uint8_t* data, std::size_t size) {
   m_last_receive_at = Clock::now();
   m_suspect = false;
@@ -332,6 +352,10 @@
   if (m_ping_pending) {
     wait = m_options.ping_busy;
   }
+  ArmPing(wait);
+}
+
+void LinkSession::ArmPing(Duration wait) {
   m_ping_timer.expires_after(wait);
   m_ping_timer.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
--- a/src/libyuccamast/link/session.h
+++ b/src/libyuccamast/link/session.h
@@ -24,8 +24,10 @@
 /// Each stream carries one message in each direction, as a whole body.
 ///
 /// Failure detection: a timer fires every `ping_busy` while there are open
-/// streams or an unacknowledged PING, otherwise every `ping_idle`; opening a
-/// stream does not shorten a wait that has begun, but `PingNow` does. The timer
+/// streams or an unacknowledged PING, otherwise every `ping_idle`. The first
+/// stream of an idle session shortens the wait to `silence_floor`, `PingNow` to
+/// `ping_busy`. A node has links to most others and rarely uses them, so idle
+/// sessions are checked rarely: a loss matters once there is a call. The timer
 /// sends an HTTP/2 PING if nothing was received for `ping_busy`. A PING that is
 /// unacknowledged for max(`silence_floor`, 4 * round trip) makes the session
 /// suspect; received bytes clear that. A PING that is unacknowledged for
@@ -45,7 +47,7 @@
 struct LinkOptions {
   /// Time between two checks while there is neither an open stream nor an
   /// unacknowledged PING.
-  Duration ping_idle = std::chrono::seconds(2);
+  Duration ping_idle = std::chrono::seconds(10);
   /// Time between two checks while there are open streams or an unacknowledged
   /// PING, and time without input after which a PING is sent.
   Duration ping_busy = std::chrono::milliseconds(100);
@@ -120,7 +122,8 @@
 
   nghttp2_session* http2_session() { return m_session; }
   Stream* FindStream(std::int32_t id);
-  Stream& AddStream(std::int32_t id) { return m_streams[id]; }
+  /// Adds a stream and sees to it that the connection is checked soon.
+  Stream& AddStream(std::int32_t id);
 
   /// An nghttp2 data provider that reads `Stream::send_body` of its stream.
   nghttp2_data_provider BodyProvider();
@@ -144,8 +147,10 @@
   friend struct Http2Callbacks;
 
   void Read();
+  void OnReadable(boost::system::error_code error);
   void Receive(const std::uint8_t* data, std::size_t size);
   void ArmPing();
+  void ArmPing(Duration wait);
   void OnPingTimer();
   void OnPingAck();
   /// Time after which an unacknowledged PING makes the session suspect.
@@ -157,7 +162,6 @@
   nghttp2_session* m_session = nullptr;
   tcp::endpoint m_remote;
   std::map<std::int32_t, Stream> m_streams;
-  std::array<std::uint8_t, 16384> m_read_buffer{};
   std::string m_write_buffer;
   bool m_write_pending = false;
   bool m_in_receive = false;
