--- a/include/yuccamast/membership/reader_rank.h
+++ b/include/yuccamast/membership/reader_rank.h
@@ -21,10 +21,10 @@
 /// Readers long-poll. While the platform's data changes all the time, each poll
 /// returns at once, so the polls are spaced: each reader draws a random time
 /// until its next poll, whose mean grows with the number of readers. All
-/// readers together then poll at most `kFleetPollsPerSecond` times a second
-/// however many they are, and a change is still read soon, by the first reader
-/// that polls. Fixed times would not do: readers whose polls return at the same
-/// change would stay in step, and none would poll until all do.
+/// readers together then poll about `kFleetPollsPerSecond` times a second, and
+/// a change is still read soon, by the first reader that polls. Fixed times
+/// would not do: readers whose polls return at the same change would stay in
+/// step, and none would poll until all do.
 
 namespace yuccamast {
 
