review: case 2, bytes without end take the node over its memory

Cause: the line of a chunk's size in a back end's reply has no bound, nor has the buffer of the connection, so all of it is kept until the call's deadline and, for an order, 3 s longer. Change: review/2 with a script. What it does: one back end of six answers every 50th request so for 5.5 s, at 125 MB/s at most.

--- /dev/null
+++ b/review/2/case.cc
@@ -0,0 +1,131 @@
+// A back end in trouble answers with bytes without end: a chunk whose head has
+// an extension that goes on until the caller closes. The node beside it must
+// stay inside the memory of its machine.
+#include "../support/harness.hpp"
+
+using namespace review;
+
+namespace {
+
+/// Bytes a second that the faulty back end hands out, over all connections: the
+/// `link_mbps` of the small deployments, 1,000 Mbit/s.
+constexpr double kBytesPerSecond = 125e6;
+// The largest dose of `garble` in the site file: 0.35 of the servers spoil 0.02
+// of their answers for 5.5 s. Here it is one server of six.
+constexpr int kOneIn = 50;
+constexpr double kFaultyFor = 5.5;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return RunCase(argc, argv, [](bool trouble) {
+    Deployment site({{"ledger", "zone-a"},
+                     {"ledger", "zone-a"},
+                     {"ledger", "zone-b"},
+                     {"dispatch", "zone-a"},
+                     {"dispatch", "zone-b"},
+                     {"dispatch", "zone-b"}});
+    const Route order{"ledger", "order.example", "/order/", false, 1500, 2};
+    const Route van{"dispatch", "van.example", "/van/", false, 2000, 2};
+    std::atomic<bool> faulty{false};
+    std::atomic<int> answers{0};
+    std::atomic<int> spoilt{0};
+    std::mutex rate_mutex;
+    double next_at = 0;
+    const std::string piece(125000, 'x');
+    for (std::size_t i = 0; i < 6; ++i) {
+      Backend::Options options =
+          site.BackendOptions(i, Format("i-%zu%08zx", i, i * 7919));
+      options.work_s = options.service == "ledger" ? 0.05 : 0.6;
+      if (i == 0) {
+        options.trouble = [&](int fd, const Message& request) {
+          if (!faulty || ++answers % kOneIn != 0) {
+            return false;
+          }
+          ++spoilt;
+          const std::string id = request.Field("Request-Id");
+          Note("spoilt   " + id + ", bytes without end");
+          bool open = SendAll(
+              fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+                      "\r\nResponse-Seal: seal-" + id +
+                      "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n5;");
+          std::size_t bytes = 0;
+          while (open && bytes < 4000000000U) {
+            double at = 0;
+            {
+              const std::lock_guard lock(rate_mutex);
+              next_at = std::max(next_at, Now()) +
+                        static_cast<double>(piece.size()) / kBytesPerSecond;
+              at = next_at;
+            }
+            SleepUntil(at);
+            open = SendAll(fd, piece);
+            bytes += piece.size();
+          }
+          Note(Format("closed   %s after %zu MB", id.c_str(), bytes >> 20U));
+          return true;
+        };
+      }
+      site.AddBackend(options);
+    }
+    site.Start(Config(7, {order, van}));
+    std::atomic<bool> over{false};
+    std::mutex mutex;
+    std::vector<Outcome> kept;
+    std::vector<std::thread> threads;
+    for (int k = 0; k < 8; ++k) {
+      threads.emplace_back([&] {
+        Client client(site.Ip(0), site.outbound());
+        while (!over) {
+          const Outcome outcome = client.Call("POST", van, 2000, "van");
+          const std::lock_guard lock(mutex);
+          kept.push_back(outcome);
+          if (outcome.status == 0) {
+            SleepS(0.2);
+          }
+        }
+      });
+    }
+    for (std::size_t k = 0; k < 12; ++k) {
+      threads.emplace_back([&, k] {
+        Client client(site.Ip(k % 6), site.outbound());
+        while (!over) {
+          if (client.Call("POST", order, 3000, "order").status == 0) {
+            SleepS(0.05);
+          }
+        }
+      });
+    }
+    SleepS(4);
+    faulty = trouble;
+    SleepS(kFaultyFor);
+    faulty = false;
+    SleepS(4);
+    over = true;
+    for (auto& thread : threads) {
+      thread.join();
+    }
+    int ends = 0;
+    for (const auto& machine : site.machines) {
+      ends += machine->ends_by_itself();
+    }
+    std::set<std::string> ran;
+    for (const Arrival& arrival : site.arrivals.All()) {
+      if (arrival.run && arrival.service == "dispatch") {
+        ran.insert(arrival.id);
+      }
+    }
+    int lost = 0;
+    for (const Outcome& outcome : kept) {
+      lost += outcome.closed && ran.contains(outcome.id) ? 1 : 0;
+    }
+    Note(
+        Format("spoilt answers %d; ends of a node by itself %d; orders that a "
+               "sound back end ran and whose kept connection was closed "
+               "without an answer: %d of %zu (allowed: 3)",
+               spoilt.load(), ends, lost, kept.size()));
+    printf("spoilt %d, ends %d, lost %d of %zu\n", spoilt.load(), ends, lost,
+           kept.size());
+    return lost <= 3;
+  });
+}
