--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -99,7 +99,8 @@
     }
     int lost = 0;
     for (const Outcome& outcome : kept) {
-      lost += outcome.closed && ran.contains(outcome.id) ? 1 : 0;
+      // A kept connection: one that has served a request before.
+      lost += outcome.closed && outcome.reused && ran.contains(outcome.id);
     }
     Note(
         Format("spoilt answers %d; ends of a node by itself %d; orders that a "
--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -1127,6 +1127,7 @@
 struct Outcome {
   std::string id;
   int status = 0;       ///< 0: no complete answer.
+  bool reused = false;  ///< The connection had served a request before.
   bool closed = false;  ///< The connection ended without a complete answer.
   double sent_at = 0;
   double ended_at = 0;
@@ -1157,6 +1158,7 @@
                const std::string& body = "") {
     Outcome outcome;
     outcome.id = NewId();
+    outcome.reused = m_fd >= 0;
     if (m_fd < 0) {
       m_fd = Connect(m_ip, m_port, 1);
     }
