Bound the read buffers of replies

What callers saw: connections closed without an answer, also for orders that sound upstreams ran. An upstream answered with bytes without end in the line of a chunk's size; the node beside it kept them all and was killed for its memory. Cause: Beast's parsers limit the head and the decoded body. The line of a chunk's size and the trailer section stay in the read buffer until they are complete, and the buffers of the upstream's connections, the health checks and the reads of the store had no maximum size. A reply that needs more fails at once, its caller gets 502.

--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "http/fields.h"
+#include "http/read_limits.h"
 #include "http/tcp_options.h"
 #include "log/log.h"
 
@@ -16,9 +17,6 @@
 
 namespace {
 
-/// Largest single read of a body, and of input that is discarded.
-constexpr std::size_t kReadChunkBytes = 64U << 10U;
-
 /// In kLingering: longest wait for the next input before the socket is closed.
 constexpr std::chrono::seconds kLingerTime{2};
 
@@ -44,7 +42,7 @@
       m_metrics(metrics),
       m_hooks(hooks),
       m_memory(budget),
-      m_buffer(m_limits.max_head_bytes + kReadChunkBytes) {
+      m_buffer(ReadBufferBytes(m_limits.max_head_bytes)) {
   SetTcpOptions(m_stream.socket(), m_limits.silence);
 }
 
@@ -66,7 +64,7 @@
   }
   // Waits for readability without a read buffer, so that idle connections
   // hold no buffer memory.
-  m_buffer = beast::flat_buffer(m_limits.max_head_bytes + kReadChunkBytes);
+  m_buffer = beast::flat_buffer(ReadBufferBytes(m_limits.max_head_bytes));
   ArmIdleTimer(m_limits.idle_timeout);
   m_stream.socket().async_wait(
       boost::asio::ip::tcp::socket::wait_read,
--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include "http/fields.h"
+#include "http/read_limits.h"
 #include "log/log.h"
 
 namespace yuccamast {
@@ -21,12 +22,15 @@
 constexpr Duration kSlowProbe = std::chrono::milliseconds(20);
 /// Largest health reply that is accepted.
 constexpr std::uint64_t kMaxReplyBytes = 64U << 10U;
+/// Largest head of a health reply that is accepted.
+constexpr std::uint32_t kMaxHeadBytes = 8U << 10U;
 
 }  // namespace
 
 /// The connection for probes, with the request and reply of the pending one.
 struct HealthChecker::ProbeConnection {
-  explicit ProbeConnection(boost::asio::io_context& io) : stream(io) {}
+  explicit ProbeConnection(boost::asio::io_context& io)
+      : stream(io), buffer(ReadBufferBytes(kMaxHeadBytes)) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
@@ -156,6 +160,7 @@
   connection->request = {http::verb::get, m_health_path, 11};
   connection->request.set(http::field::host, "upstream");
   connection->parser.emplace();
+  connection->parser->header_limit(kMaxHeadBytes);
   connection->parser->body_limit(kMaxReplyBytes);
   connection->stream.expires_after(kProbeTimeout);
   http::async_write(
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -144,7 +144,8 @@
 }
 
 void UpstreamRun::Connect() {
-  m_connection = std::make_shared<UpstreamPool::Connection>(m_pool.m_io);
+  m_connection =
+      std::make_shared<UpstreamPool::Connection>(m_pool.m_io, m_pool.m_limits);
   ++m_pool.m_open_connections;
   m_pool.m_metrics.Add(Counter::kUpstreamConnects);
   m_connection->stream.expires_after(m_pool.m_limits.connect_timeout);
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "http/dialect.h"
+#include "http/read_limits.h"
 #include "link/messages.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
@@ -40,6 +41,10 @@
 /// chunk, or, if `Dialect::accepts_close_delimited` is set, from an orderly
 /// close. A reply to another request (`ReplyClass::kOtherRequest`) is read and
 /// discarded, up to three times a run, and its connection is not reused.
+///
+/// Memory: a reply takes at most `UpstreamLimits::max_reply_bytes` for its body
+/// and `ReadBufferBytes` for everything else. One that needs more fails with
+/// kReplyTooLarge or kReplyIncomplete, and its connection is closed.
 
 namespace yuccamast {
 
@@ -126,7 +131,8 @@
 
   /// One connection and the time of its last use.
   struct Connection {
-    explicit Connection(boost::asio::io_context& io) : stream(io) {}
+    Connection(boost::asio::io_context& io, const UpstreamLimits& limits)
+        : stream(io), buffer(ReadBufferBytes(limits.max_head_bytes)) {}
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     TimePoint last_used_at;
