Refuse trailer fields that Beast's container rejects

What callers saw: a spoilt answer with a trailer line of 70,000 bytes ended the node beside that upstream; every connection of its clients was closed, also those whose orders ran at sound upstreams. A caller could end a node in the same way with the trailer of a chunked request. Cause: Beast's parser adds trailer fields to those of the head, without the limit of heads. Its container stores sizes in 16 bits and throws std::length_error for larger ones, and nothing catches an exception of a read handler. Change: a read buffer is smaller than 64 KB, so such a field never reaches the container; the read fails with buffer_overflow. Fields are copied when the head was read, so trailer fields are not taken for header fields.

--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "http/fields.h"
 #include "http/read_limits.h"
@@ -169,6 +170,7 @@
     RefuseReadError(error);
     return;
   }
+  m_request_fields = CopyFields(m_parser->get());
   m_http_version = m_parser->get().version();
   m_keep_alive = m_parser->get().keep_alive();
   m_is_head_method = m_parser->get().method() == http::verb::head;
@@ -246,10 +248,7 @@
   CallerRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
+  request.fields = std::exchange(m_request_fields, {});
   request.body = std::move(message.body());
   request.from_own_vm = m_from_own_vm;
   m_metrics.Add(Counter::kCallsReceived);
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -188,7 +188,8 @@
   std::optional<Response> m_response;
   CallHandle m_call;
   Phase m_phase = Phase::kIdle;
-  std::size_t m_discarded_bytes = 0;  ///< Read in kLingering.
+  std::size_t m_discarded_bytes = 0;        ///< Read in kLingering.
+  std::vector<HttpField> m_request_fields;  ///< Of the head.
   std::string m_request_id;  ///< From `Dialect::request_id_field`, or empty.
   bool m_keep_alive = true;
   bool m_stopping = false;     ///< `Stop` was called.
--- a/src/libyuccamast/http/caller_connection_test.cpp
+++ b/src/libyuccamast/http/caller_connection_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include "http/fields.h"
+
 using namespace yuccamast;  // NOLINT
 using boost::asio::ip::tcp;
 
@@ -21,9 +23,10 @@
                    tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
         m_socket(m_io) {
     m_hooks.handle_call = [this, body_bytes](
-                              const CallerRequest&,
+                              const CallerRequest& request,
                               const std::function<void(CallerReply)>& done) {
       ++m_calls;
+      m_fields = request.fields;
       HttpReply reply;
       reply.status = 200;
       reply.body.assign(body_bytes, 'x');
@@ -75,6 +78,8 @@
 
   int calls() const { return m_calls; }
   bool closed() const { return m_closed; }
+  /// Of the last call.
+  const std::vector<HttpField>& fields() const { return m_fields; }
 
  private:
   boost::asio::io_context m_io;
@@ -87,6 +92,7 @@
   bool m_leaving = false;
   bool m_closed = false;
   int m_calls = 0;
+  std::vector<HttpField> m_fields;
 };
 
 }  // namespace
@@ -144,3 +150,34 @@
   silent.Run(std::chrono::seconds(1));
   cr_expect(silent.closed());
 }
+
+// Guards against a node that one caller ends, and with it the calls of all
+// others: a trailer field that Beast's container of fields rejects.
+Test(caller_connection, long_trailer_field_is_refused) {
+  for (const std::size_t size : {65'533U, 65'535U, 70'000U, 80'000U}) {
+    Caller caller;
+    caller.Send(
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n5\r\nhello\r\n0\r\nX: " +
+        std::string(size, 'x') + "\r\n\r\n");
+    const std::string reply = caller.Read(4096);
+    cr_expect(reply.starts_with("HTTP/1.1 431"), "%zu bytes: %s", size,
+              reply.c_str());
+    cr_expect_eq(caller.calls(), 0);
+  }
+}
+
+// Guards against a caller that sets header fields after they were checked.
+Test(caller_connection, trailer_field_is_no_header_field) {
+  Caller caller;
+  caller.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\nHost: other\r\nX-Sum: 1\r\n\r\n");
+  cr_expect(caller.Read(4096).starts_with("HTTP/1.1 200"));
+  cr_assert_eq(caller.calls(), 1);
+  const auto hosts = std::ranges::count_if(
+      caller.fields(),
+      [](const HttpField& field) { return field.name == "Host"; });
+  cr_expect_eq(hosts, 1);
+  cr_expect_null(FindField(caller.fields(), "X-Sum"));
+}
--- a/src/libyuccamast/http/endless_reply_test.cpp
+++ b/src/libyuccamast/http/endless_reply_test.cpp
@@ -103,6 +103,8 @@
       {"chunk size", kChunked, "0"},
       {"chunk extension", kChunked + "5;", "x"},
       {"trailers", kChunked + "0\r\n", "X: x\r\n"},
+      {"input after a long trailer field",
+       kChunked + "0\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n", "x"},
       {"body", "Response-Seal: s\r\n\r\n", "x"},
       {"chunked body", kChunked, "400\r\n" + std::string(1024, 'x') + "\r\n"}};
 }
--- a/src/libyuccamast/http/fields.h
+++ b/src/libyuccamast/http/fields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +49,22 @@
 /// kLeavingField.
 std::vector<HttpField> EndToEndFields(const std::vector<HttpField>& fields);
 
+/// Copies the fields of a Beast message, or of another range whose elements
+/// have `name_string()` and `value()`. To be called when the head was read: the
+/// parser adds the fields of a chunked body's trailer section to the same
+/// message, but a trailer field must not be taken for a header field (RFC 9110,
+/// section 6.5.1).
+template <typename Fields>
+std::vector<HttpField> CopyFields(const Fields& fields) {
+  std::vector<HttpField> copy;
+  std::ranges::transform(fields, std::back_inserter(copy),
+                         [](const auto& field) {
+                           return HttpField{std::string(field.name_string()),
+                                            std::string(field.value())};
+                         });
+  return copy;
+}
+
 /// Parses a decimal integer of 1 to 18 ASCII digits without sign or space, or
 /// returns nothing. 18 digits always fit.
 std::optional<std::int64_t> ParseCount(std::string_view text);
--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -36,6 +36,7 @@
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
+  HttpReply reply;   ///< Status and fields of the head.
   bool busy = true;  ///< Connecting, or waiting for a reply.
 };
 
@@ -163,21 +164,43 @@
   connection->parser->header_limit(kMaxHeadBytes);
   connection->parser->body_limit(kMaxReplyBytes);
   connection->stream.expires_after(kProbeTimeout);
-  http::async_write(
-      connection->stream, connection->request,
+  http::async_write(connection->stream, connection->request,
+                    [this, connection](const error_code& error, std::size_t) {
+                      if (error) {
+                        OnReply(connection, false);
+                        return;
+                      }
+                      ReadHead(connection);
+                    });
+}
+
+void HealthChecker::ReadHead(
+    const std::shared_ptr<ProbeConnection>& connection) {
+  http::async_read_header(
+      connection->stream, connection->buffer, *connection->parser,
       [this, connection](const error_code& error, std::size_t) {
         if (error) {
           OnReply(connection, false);
           return;
         }
-        http::async_read(
-            connection->stream, connection->buffer, *connection->parser,
-            [this, connection](const error_code& failed, std::size_t) {
-              OnReply(connection, !failed);
-            });
+        const auto& message = connection->parser->get();
+        connection->reply = {message.result_int(), CopyFields(message), ""};
+        ReadBody(connection);
       });
 }
 
+void HealthChecker::ReadBody(
+    const std::shared_ptr<ProbeConnection>& connection) {
+  if (connection->parser->is_done()) {
+    OnReply(connection, true);
+    return;
+  }
+  http::async_read(connection->stream, connection->buffer, *connection->parser,
+                   [this, connection](const error_code& error, std::size_t) {
+                     OnReply(connection, !error);
+                   });
+}
+
 void HealthChecker::OnReply(const std::shared_ptr<ProbeConnection>& connection,
                             bool complete) {
   connection->busy = false;
@@ -189,13 +212,7 @@
     m_connection.reset();
     return;
   }
-  const auto& message = connection->parser->get();
-  HttpReply reply;
-  reply.status = message.result_int();
-  for (const auto& field : message) {
-    reply.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
+  const HttpReply reply = std::move(connection->reply);
   if (!connection->parser->keep_alive() || connection->buffer.size() > 0) {
     connection->stream.close();
     m_connection.reset();
--- a/src/libyuccamast/http/health_checker.h
+++ b/src/libyuccamast/http/health_checker.h
@@ -86,6 +86,8 @@
   void OnConnected(const std::shared_ptr<ProbeConnection>& connection,
                    bool connected);
   void SendProbe(const std::shared_ptr<ProbeConnection>& connection);
+  void ReadHead(const std::shared_ptr<ProbeConnection>& connection);
+  void ReadBody(const std::shared_ptr<ProbeConnection>& connection);
   void OnReply(const std::shared_ptr<ProbeConnection>& connection,
                bool complete);
   void SetDraining(bool draining);
--- a/src/libyuccamast/http/read_limits.h
+++ b/src/libyuccamast/http/read_limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 /// \file read_limits.h
@@ -12,16 +13,26 @@
 /// size of the buffer. Every buffer that a Beast parser reads from is created
 /// with the maximum size given here. A read that needs more fails with
 /// `http::error::buffer_overflow`.
+///
+/// Beast stores the sizes of a field's name and value in 16 bits and throws
+/// `std::length_error` for larger ones. A field is in the buffer as a whole
+/// when it is parsed, so every buffer is kept below 64 KB.
 
 namespace yuccamast {
 
-/// Largest single read of a body, and of input that is discarded, in bytes.
-inline constexpr std::size_t kReadChunkBytes = 64U << 10U;
+/// Room in a read buffer beside the head, and largest single read of input that
+/// is discarded, in bytes.
+inline constexpr std::size_t kReadChunkBytes = 32U << 10U;
+
+/// Maximum size of any read buffer, in bytes, so that the size of a field fits
+/// 16 bits.
+inline constexpr std::size_t kMaxReadBufferBytes = (64U << 10U) - 1;
 
 /// Maximum size in bytes of the read buffer of a connection whose heads have at
-/// most `max_head_bytes`. Thread-safe.
+/// most `max_head_bytes`. A larger limit than `kMaxReadBufferBytes` has no
+/// effect. Thread-safe.
 constexpr std::size_t ReadBufferBytes(std::size_t max_head_bytes) {
-  return max_head_bytes + kReadChunkBytes;
+  return std::min(max_head_bytes + kReadChunkBytes, kMaxReadBufferBytes);
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "http/upstream_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "http/fields.h"
 #include "http/tcp_options.h"
@@ -219,6 +220,8 @@
     return;
   }
   m_hooks.reply_head();
+  m_reply.status = status;
+  m_reply.fields = CopyFields(m_parser->get());
   ReadBody();
 }
 
@@ -269,15 +272,8 @@
 }
 
 HttpReply UpstreamRun::TakeReply() {
-  auto response = m_parser->release();
-  HttpReply reply;
-  reply.status = response.result_int();
-  for (const auto& field : response) {
-    reply.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  reply.body = std::move(response.body());
-  return reply;
+  m_reply.body = std::move(m_parser->get().body());
+  return std::exchange(m_reply, {});
 }
 
 void UpstreamRun::OnReplyComplete() {
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -194,6 +194,7 @@
   UpstreamPool::ConnectionPtr m_connection;
   Message m_message;
   std::optional<Parser> m_parser;
+  HttpReply m_reply;       ///< Set when its head was read, but for the body.
   bool m_written = false;  ///< The whole request was written.
   bool m_finished =
       false;  ///< Reply delivered, failed, not started or aborted.
--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "http/fields.h"
 #include "platform/dialect.h"
 
 using namespace yuccamast;  // NOLINT
@@ -263,3 +264,30 @@
               RunOutcome::kUnknown);
   }
 }
+
+// Guards against a node that ends itself, and with it all calls of its VM, when
+// an upstream sends a trailer field that Beast's container of fields rejects.
+Test(upstream_pool, long_trailer_field_is_refused) {
+  const std::string start =
+      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX: ";
+  for (const std::size_t size : {65'533U, 65'535U, 70'000U, 90'000U}) {
+    const Outcome outcome =
+        RunRequest({start + std::string(size, 'x') + "\r\n\r\n"});
+    cr_expect(InfoOf(outcome.Reason()).run_outcome == RunOutcome::kUnknown,
+              "%zu bytes", size);
+    cr_expect_eq(outcome.requests, 1U);
+  }
+}
+
+// Guards against a trailer field that is taken for a header field: here it
+// would be the seal of a reply whose head has none.
+Test(upstream_pool, trailer_field_is_no_header_field) {
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n5\r\nhello\r\n0\r\nResponse-Seal: s\r\n\r\n";
+  const Outcome outcome = RunRequest({text});
+  if (const auto* reply = std::get_if<HttpReply>(&outcome.result)) {
+    cr_expect_null(FindField(reply->fields, "Response-Seal"));
+  }
+}
