Read the platform by substitutes while readers have no contact

What callers saw: orders run by the old service, and new routes refused with 404, at nodes that the platform's store would have served, for as long as the store turned away the nodes that read it, or as a node was cut off from its peers alone. Cause: who reads follows from the ranks of the live members. A reader that is turned away is live and keeps its rank. A node that hears no peer takes a reader's place only when its own probes, one member a period, have found the readers dead. Change: gossip messages carry the most recent contact with the platform that the sender knows of, with its age. A node that knows of no recent one reads by itself (SourceFreshness): at once if it hears nobody, else after a delay by rank, and stops when a reader is in contact again. ReaderRole holds what ControlPlane knew of this. After a time without reads the first long poll isn't held, so that its reply shows whether the platform answers. The log has reader_state_changed, the dump reader_state and peer_contact_ms. Evidence: on the code before, with real processes, platform_access::change_reaches_all_nodes_while_readers_are_turned_away: The expression AllAtRevision(fleet, 5, seconds(10)) is false.

--- a/include/yuccamast/membership/member.h
+++ b/include/yuccamast/membership/member.h
@@ -68,6 +68,16 @@
   MSGPACK_DEFINE(revision, digest)
 };
 
+/// A contact of a node with the platform: the last time at which the node would
+/// have learned of a change there.
+struct SourceContact {
+  std::string vm;  ///< Of the node that was in contact; empty: none is known.
+  std::uint64_t age_ms = 0;  ///< Time since the contact, when sent.
+  bool designated = false;   ///< The node was a designated reader.
+
+  MSGPACK_DEFINE(vm, age_ms, designated)
+};
+
 /// Kinds of messages; the values are sent.
 enum class GossipKind : std::uint8_t {
   kPing,         ///< To be answered with kAck and the same sequence.
@@ -90,6 +100,7 @@
   HeldVersion config;                 ///< In force at the sender.
   HeldVersion vm_list;                ///< Held by the sender.
   std::vector<MemberRecord> records;  ///< Of other members.
+  SourceContact contact;              ///< Most recent one that is known.
 
   MSGPACK_DEFINE(protocol,
                  kind,
@@ -98,7 +109,8 @@
                  sender,
                  config,
                  vm_list,
-                 records)
+                 records,
+                 contact)
 };
 
 /// A member as one node sees it.
--- a/include/yuccamast/membership/membership.h
+++ b/include/yuccamast/membership/membership.h
@@ -78,7 +78,7 @@
 };
 
 /// Callbacks provided by the owner, called from within methods of `Membership`.
-/// Only `on_versions` may call methods of it.
+/// Only `on_versions` and `on_contact` may call methods of it.
 struct MembershipHooks {
   /// Sends a datagram; may drop it.
   std::function<void(const std::string& ip,
@@ -96,6 +96,12 @@
                      const HeldVersion& config,
                      const HeldVersion& vm_list)>
       on_versions;
+  /// Returns the contact with the platform to send with a message. May be
+  /// empty.
+  std::function<SourceContact()> contact;
+  /// A message arrived and carried this contact; called before `on_versions`.
+  /// May be empty.
+  std::function<void(const SourceContact& contact)> on_contact;
 };
 
 /// The members as seen by one node; see the file comment. Not thread-safe.
--- a/include/yuccamast/membership/reader_rank.h
+++ b/include/yuccamast/membership/reader_rank.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -9,7 +10,8 @@
 
 /// \file reader_rank.h
 /// Selects the nodes that read from the services of the platform; the others
-/// receive configuration and VM list from peers.
+/// receive configuration and VM list from peers. source_freshness.h says which
+/// others read while these have no contact with the platform.
 ///
 /// In each data centre the `kReadersPerDataCentre` live members with the
 /// highest hash of their VM name read (highest random weight, or rendezvous,
@@ -31,6 +33,22 @@
 /// Nodes of each data centre that read from the platform.
 inline constexpr std::size_t kReadersPerDataCentre = 2;
 
+/// Rank of a VM as a reader: nodes with a higher one read first. Thread-safe.
+std::uint64_t ReaderRank(std::string_view vm);
+
+/// Where a node stands among the readers of its fleet.
+struct ReaderPosition {
+  std::size_t members = 1;  ///< Members, this node included.
+  std::size_t readers = 1;  ///< See `CountPlatformReaders`.
+  /// Live members of the data centre that rank before this node and are not
+  /// designated readers; 0 for a designated reader.
+  std::size_t nodes_ahead = 0;
+};
+
+/// The position of this node by its own view. Linear in the number of members.
+/// As thread-safe as `membership`.
+ReaderPosition PositionAmongReaders(const Membership& membership);
+
 /// Whether this node is one of those that read from the platform in its data
 /// centre, by its own view. Linear in the number of members. As thread-safe as
 /// `membership`.
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -36,6 +36,7 @@
     "config_refused",
     "config_stale",
     "config_conflict",
+    "reader_state_changed",
     "platform_unreachable",
     "platform_reachable",
     "vm_list_accepted",
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -48,6 +48,7 @@
   kConfigRefused,
   kConfigStale,
   kConfigConflict,
+  kReaderStateChanged,
   kPlatformUnreachable,
   kPlatformReachable,
   kVmListAccepted,
--- a/src/libyuccamast/membership/membership.cpp
+++ b/src/libyuccamast/membership/membership.cpp
@@ -93,6 +93,9 @@
   message.config = m_config;
   message.vm_list = m_vm_list;
   message.records = SelectRecords();
+  if (m_hooks.contact) {
+    message.contact = m_hooks.contact();
+  }
   m_hooks.send(ip, port, message);
 }
 
@@ -287,6 +290,9 @@
     default:
       break;
   }
+  if (m_hooks.on_contact) {
+    m_hooks.on_contact(message.contact);
+  }
   if (m_hooks.on_versions) {
     m_hooks.on_versions(sender, message.config, message.vm_list);
   }
--- a/src/libyuccamast/membership/reader_rank.cpp
+++ b/src/libyuccamast/membership/reader_rank.cpp
@@ -9,29 +9,39 @@
 
 namespace {
 
-std::uint64_t RankOf(std::string_view vm) {
-  return XXH3_64bits(vm.data(), vm.size());
-}
-
 /// Members that this node has not heard from yet count, too. Otherwise every
 /// node would read from the platform while a whole fleet starts at once.
 bool MayRead(const Member& member) {
   return member.state() == MemberState::kLive && !member.record.leaving;
 }
 
-}  // namespace
-
-bool IsPlatformReader(const Membership& membership) {
+/// Live members of this node's data centre with a higher rank.
+std::size_t CountHigherRanked(const Membership& membership) {
   const MemberRecord& self = membership.self();
-  const std::uint64_t own = RankOf(self.vm);
-  const auto higher_ranked =
+  const std::uint64_t own = ReaderRank(self.vm);
+  return static_cast<std::size_t>(
       std::ranges::count_if(membership.members(), [&](const auto& item) {
         const Member& member = item.second;
         return MayRead(member) &&
                member.record.data_centre == self.data_centre &&
-               RankOf(item.first) > own;
-      });
-  return higher_ranked < static_cast<std::ptrdiff_t>(kReadersPerDataCentre);
+               ReaderRank(item.first) > own;
+      }));
+}
+
+}  // namespace
+
+std::uint64_t ReaderRank(std::string_view vm) {
+  return XXH3_64bits(vm.data(), vm.size());
+}
+
+bool IsPlatformReader(const Membership& membership) {
+  return CountHigherRanked(membership) < kReadersPerDataCentre;
+}
+
+ReaderPosition PositionAmongReaders(const Membership& membership) {
+  const std::size_t higher_ranked = CountHigherRanked(membership);
+  return {membership.members().size() + 1, CountPlatformReaders(membership),
+          higher_ranked - std::min(higher_ranked, kReadersPerDataCentre)};
 }
 
 std::size_t CountPlatformReaders(const Membership& membership) {
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -7,7 +7,6 @@
 #include "link/message_mac.h"
 #include "log/log.h"
 #include "node/config_document.h"
-#include "yuccamast/membership/reader_rank.h"
 
 namespace yuccamast {
 
@@ -22,8 +21,6 @@
 /// has heard `kJoinPeerCount` peers, or `kJoinTimeout` after its first VM list.
 constexpr Duration kJoinTimeout = std::chrono::seconds(2);
 constexpr std::size_t kJoinPeerCount = 3;
-/// Period of the ranking of all members that decides who reads the platform.
-constexpr Duration kReaderCheckPeriod = std::chrono::milliseconds(200);
 /// A node unconfigured for this long reads the configuration, reader or not.
 constexpr Duration kUnconfiguredReadDelay = std::chrono::seconds(3);
 /// Maximum time for which the view stays marked stale after a pause.
@@ -34,9 +31,6 @@
 /// Upstreams whose entries expired during an outage of the service that holds
 /// the list are registered again within this time of its return.
 constexpr Duration kVmListRetentionPeriod = std::chrono::milliseconds(2200);
-/// In a fleet below this size every node reads a strongly consistent source:
-/// that costs no more than the readers of a larger fleet.
-constexpr std::size_t kSmallFleetSize = 6;
 /// A newer VM list at a peer in another data centre is fetched after this wait,
 /// unless a peer in the same data centre, which is cheaper, has it before.
 constexpr Duration kLocalHolderWait = std::chrono::milliseconds(150);
@@ -95,6 +89,11 @@
                 [this](DocumentKind kind, const Document& document) {
                   OnFetched(kind, document);
                 }),
+      m_reader_role(
+          settings,
+          m_membership,
+          [this] { return m_random(); },
+          Clock::now()),
       m_started_at(Clock::now()),
       m_pause_detector(kPauseThreshold, kPauseSettleTime, Clock::now()),
       m_tick_timer(io) {}
@@ -118,6 +117,10 @@
            {"epoch", member->record.epoch}});
     }
   };
+  hooks.contact = [this] { return m_reader_role.ContactToSend(Clock::now()); };
+  hooks.on_contact = [this](const SourceContact& contact) {
+    m_reader_role.OnMessage(contact, Clock::now());
+  };
   hooks.on_versions = [this](const MemberRecord& holder,
                              const HeldVersion& config,
                              const HeldVersion& vm_list) {
@@ -137,12 +140,12 @@
 
 SourceHooks ControlPlane::MakeSourceHooks() {
   SourceHooks hooks;
-  hooks.reader_count = [this] { return m_reader_count.load(); };
+  hooks.reader_count = [this] { return m_reader_role.reader_count(); };
   hooks.on_reachable = [this](bool reachable) {
     asio::post(m_io, [this, reachable] { OnSourceReachable(reachable); });
   };
-  hooks.reads_config = [this] { return m_reads_config.load(); };
-  hooks.reads_vm_list = [this] { return m_reads_vm_list.load(); };
+  hooks.reads_config = [this] { return m_reader_role.reads_config(); };
+  hooks.reads_vm_list = [this] { return m_reader_role.reads_vm_list(); };
   hooks.known_revision = [this] { return m_newest_known_revision.load(); };
   hooks.on_config = [this](PublishedConfig config) {
     asio::post(m_io,
@@ -430,13 +433,21 @@
   }
 }
 
-void ControlPlane::UpdateReaderCount(TimePoint now) {
-  if (m_vm_list == nullptr || now < m_reader_check_due) {
-    return;
+void ControlPlane::UpdateReaderRole(TimePoint now) {
+  const ReaderState before = m_reader_role.state();
+  const bool unconfigured = m_config_selector.in_force() == nullptr &&
+                            now - m_started_at >= kUnconfiguredReadDelay;
+  m_reader_role.Update(m_source, {m_vm_list != nullptr, unconfigured}, now);
+  const ReaderState state = m_reader_role.state();
+  const bool lost = m_reader_role.IsPlatformLost(now);
+  if (state == ReaderState::kSubstitute && before != state && lost) {
+    OnSourceReachable(false);
+  } else if (state == ReaderState::kSubstitute && m_reader_role.in_contact()) {
+    OnSourceReachable(true);
+  } else if (state == ReaderState::kNone && !lost) {
+    // Peers that read the platform also retain what is missing in their lists.
+    m_vm_list_retention.Clear();
   }
-  m_reader_check_due = now + kReaderCheckPeriod;
-  m_reader_count =
-      IsPlatformReader(m_membership) ? CountPlatformReaders(m_membership) : 0;
 }
 
 void ControlPlane::OnTick() {
@@ -457,14 +468,7 @@
   if (m_vm_list_retention.EndIfExpired(now)) {
     SubmitSourceVmList();
   }
-  UpdateReaderCount(now);
-  const bool reader = m_reader_count > 0;
-  const bool small_fleet = m_source.is_strongly_consistent &&
-                           m_membership.members().size() < kSmallFleetSize;
-  const bool unconfigured = m_config_selector.in_force() == nullptr &&
-                            now - m_started_at >= kUnconfiguredReadDelay;
-  m_reads_config = reader || unconfigured || small_fleet;
-  m_reads_vm_list = reader || m_vm_list == nullptr || small_fleet;
+  UpdateReaderRole(now);
   if (m_pending_config && MayApplySourceConfig()) {
     const PublishedConfig config = std::move(*m_pending_config);
     m_pending_config.reset();
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -12,6 +12,7 @@
 #include "node/document_store.h"
 #include "node/fleet_view.h"
 #include "node/gossip_socket.h"
+#include "node/reader_role.h"
 #include "node/settings.h"
 #include "source/platform_watcher.h"
 #include "source/vm_list_retention.h"
@@ -27,13 +28,14 @@
 /// Outputs are updates of the `FleetViewStore`, gossip, and the documents that
 /// peers fetch from this node.
 ///
-/// Dissemination: a few nodes of each data centre read the platform
-/// (`IsPlatformReader`). Every gossip datagram carries the versions of the
-/// configuration and the VM list that its sender holds. A node with an older
-/// version fetches the document from that sender over an inner connection (pull
-/// gossip), with at most one fetch in progress for each kind of document. If
-/// the sender of a newer VM list is in another data centre, the node first
-/// waits for a short time for a sender in its own data centre.
+/// Dissemination: a few nodes of each data centre read the platform, and others
+/// while these have no contact with it (`ReaderRole`). Every gossip datagram
+/// carries the versions of the configuration and the VM list that its sender
+/// holds. A node with an older version fetches the document from that sender
+/// over an inner connection (pull gossip), with at most one fetch in progress
+/// for each kind of document. If the sender of a newer VM list is in another
+/// data centre, the node first waits for a short time for a sender in its own
+/// data centre.
 ///
 /// Protection against stale data:
 /// - A node that has just started applies a configuration from the platform
@@ -131,8 +133,9 @@
   bool MayApplySourceConfig() const;
   void ArmTick();
   void OnTick();
-  /// Ranks the members anew, once a period, to see who reads the platform.
-  void UpdateReaderCount(TimePoint now);
+  /// Decides whether to read the platform. A node that begins to read for the
+  /// others treats the platform as lost until its first read.
+  void UpdateReaderRole(TimePoint now);
   /// Marks the view stale if this thread did not run for a while.
   void CheckPause(TimePoint now);
   /// Ends the stale mark once the node has heard from peers and its fetches are
@@ -163,12 +166,9 @@
   /// Peer in another data centre with a newer VM list, and since when.
   std::optional<DocumentHolder> m_remote_holder;
   TimePoint m_remote_holder_since{};
-  TimePoint m_reader_check_due{};
-  /// The next four are read by the hooks of the source, on any thread.
-  std::atomic<std::size_t> m_reader_count{0};  ///< 0: this node is none.
-  std::atomic<bool> m_reads_config{false};
-  std::atomic<bool> m_reads_vm_list{true};
+  ReaderRole m_reader_role;
   /// Newest revision in force or refused; the source waits for a newer one.
+  /// Read by a hook of the source, on any thread.
   std::atomic<std::uint64_t> m_newest_known_revision{0};
   /// Consecutive reads of the source that returned a list with less than half
   /// as many VMs as the list in use.
--- a/src/libyuccamast/source/platform_watcher.cpp
+++ b/src/libyuccamast/source/platform_watcher.cpp
@@ -1,9 +1,11 @@
 #include "source/platform_watcher.h"
 
+#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <random>
 #include <thread>
+#include <utility>
 
 #include "log/log.h"
 #include "source/http_fetcher.h"
@@ -16,6 +18,9 @@
 
 /// Time that the configuration service holds a request if it has nothing newer.
 constexpr Millis kLongPollTime{10'000};
+/// The same for the first request after a time without any, whose reply shows
+/// that the node is up to date.
+constexpr Millis kNoHoldTime{1};
 /// Timeout passed to `HttpFetcher::Get`; for the configuration, in addition to
 /// kLongPollTime.
 constexpr Millis kReadTimeout{2'000};
@@ -45,6 +50,8 @@
   SourceHooks hooks;
   std::atomic<bool> config_is_reachable{false};
   std::atomic<bool> vm_list_is_reachable{false};
+  std::atomic<TimePoint> config_read_at{TimePoint{}};
+  std::atomic<TimePoint> vm_list_read_at{TimePoint{}};
 
   /// Runs `work` with the mutex held, unless stopped. False if stopped.
   template <typename Work>
@@ -87,6 +94,7 @@
   static void ConfigLoop(const std::shared_ptr<Shared>& shared) {
     HttpFetcher fetcher(shared->config_address.ip, shared->config_address.port);
     std::mt19937 random{std::random_device{}()};
+    bool was_idle = false;
     while (true) {
       bool may_read = false;
       std::uint64_t revision = 0;
@@ -101,12 +109,14 @@
         return;
       }
       if (!may_read) {
+        was_idle = true;
         std::this_thread::sleep_for(kIdlePause);
         continue;
       }
-      const std::string path =
-          "/v1/config?after=" + std::to_string(revision) +
-          "&wait_ms=" + std::to_string(kLongPollTime.count());
+      const Millis hold_time =
+          std::exchange(was_idle, false) ? kNoHoldTime : kLongPollTime;
+      const std::string path = "/v1/config?after=" + std::to_string(revision) +
+                               "&wait_ms=" + std::to_string(hold_time.count());
       if (!ReadConfig(*shared, fetcher, path)) {
         SleepWithJitter(kRetryPause, random);
       }
@@ -123,6 +133,7 @@
       return false;
     }
     if (text.value().empty()) {
+      shared.config_read_at = Clock::now();
       return true;  // Nothing newer within the wait.
     }
     auto config = ParsePublishedConfig(text.value());
@@ -133,6 +144,7 @@
     }
     shared.RunUnlessStopped(
         [&] { shared.hooks.on_config(std::move(config.value())); });
+    shared.config_read_at = Clock::now();
     return true;
   }
 
@@ -177,6 +189,7 @@
     }
     shared.RunUnlessStopped(
         [&] { shared.hooks.on_vm_list(std::move(list.value())); });
+    shared.vm_list_read_at = Clock::now();
     return true;
   }
 };
@@ -212,6 +225,9 @@
   source.vm_list_reachable = [watcher] {
     return *watcher != nullptr && (*watcher)->vm_list_reachable();
   };
+  source.last_read_at = [watcher] {
+    return *watcher == nullptr ? TimePoint{} : (*watcher)->last_read_at();
+  };
   return source;
 }
 
@@ -223,4 +239,9 @@
   return m_shared->vm_list_is_reachable;
 }
 
+TimePoint PlatformWatcher::last_read_at() const {
+  return std::min(m_shared->config_read_at.load(),
+                  m_shared->vm_list_read_at.load());
+}
+
 }  // namespace yuccamast
--- a/src/libyuccamast/source/platform_watcher.h
+++ b/src/libyuccamast/source/platform_watcher.h
@@ -9,6 +9,7 @@
 #include "metrics/metrics.h"
 #include "node/settings.h"
 #include "source/published.h"
+#include "yuccamast/clock.h"
 
 /// \file platform_watcher.h
 /// Sources of the configuration and the VM list, and the default source, which
@@ -33,9 +34,8 @@
   std::function<bool()> reads_config;
   /// Whether the source should read the VM list now.
   std::function<bool()> reads_vm_list;
-  /// Number of designated readers, whose reads other nodes depend on, if this
-  /// node is one of them; else 0. A node that reads without being designated
-  /// may do so less often.
+  /// Number of nodes whose reads other nodes depend on, if this node is one of
+  /// them; else 0. A node that reads for itself alone may do so less often.
   std::function<std::size_t()> reader_count;
   /// The highest revision of the configuration that the node has accepted or
   /// refused; it needs only newer ones.
@@ -57,6 +57,10 @@
   /// Whether the last read of the configuration, or of the VM list, succeeded.
   std::function<bool()> config_reachable;
   std::function<bool()> vm_list_reachable;
+  /// When the last read that returned the latest state ended; the epoch of the
+  /// clock before the first. A long poll that is pending counts as a read when
+  /// it ends. After a time without reads, the first long poll isn't held.
+  std::function<TimePoint()> last_read_at;
   /// Whether a read always returns the latest state, so that a node that has
   /// just started may trust it without asking peers first.
   bool is_strongly_consistent = false;
@@ -95,6 +99,9 @@
   bool config_reachable() const;
   /// Whether the last request for the VM list succeeded. Thread-safe.
   bool vm_list_reachable() const;
+  /// When the last successful request to each service had ended: the earlier of
+  /// both times. Thread-safe.
+  TimePoint last_read_at() const;
 
  private:
   friend struct WatcherLoops;
--- a/src/libyuccamast/source/vm_list_retention.cpp
+++ b/src/libyuccamast/source/vm_list_retention.cpp
@@ -32,7 +32,14 @@
 }
 
 void VmListRetention::OnSourceRegained(TimePoint now) {
-  m_regained_at = now;
+  if (!m_regained_at) {
+    m_regained_at = now;
+  }
+}
+
+void VmListRetention::Clear() {
+  m_retained.reset();
+  m_regained_at.reset();
 }
 
 bool VmListRetention::EndIfExpired(TimePoint now) {
@@ -40,8 +47,7 @@
       now - *m_regained_at < m_grace_period) {
     return false;
   }
-  m_retained.reset();
-  m_regained_at.reset();
+  Clear();
   return true;
 }
 
--- a/src/libyuccamast/source/vm_list_retention.h
+++ b/src/libyuccamast/source/vm_list_retention.h
@@ -43,9 +43,13 @@
   void OnSourceLost(std::shared_ptr<const VmList> in_use);
 
   /// The service answers again: starts the grace period. Has no effect when
-  /// inactive.
+  /// inactive or in the grace period.
   void OnSourceRegained(TimePoint now);
 
+  /// Becomes inactive. For a node that no longer reads the service: its lists
+  /// come from peers, with the entries that these retain.
+  void Clear();
+
   /// The list to use instead of `fresh`, which the service returned: `fresh`
   /// itself when inactive, otherwise with the retained entries added. `fresh`
   /// is not null.
--- a/testsuite/support/local_fleet.cpp
+++ b/testsuite/support/local_fleet.cpp
@@ -139,6 +139,8 @@
     vm.inner_relay_control_port = NextPort();
     vm.upstream_relay_port = NextPort();
     vm.upstream_relay_control_port = NextPort();
+    vm.platform_relay_port = NextPort();
+    vm.platform_relay_control_port = NextPort();
     m_vms.push_back(std::move(vm));
   });
 }
@@ -196,6 +198,8 @@
 }
 
 std::string LocalFleet::SettingsText(const LocalVm& vm) const {
+  const int platform_port =
+      m_spec.relay_platform ? vm.platform_relay_port : m_platform_port;
   JsonValue::Object settings{
       {"vm", vm.spec.vm},
       {"ip", "127.0.0.1"},
@@ -207,7 +211,7 @@
        int{m_spec.relay_inner ? vm.inner_relay_port : vm.inner_port}},
       {"control_port", int{vm.control_port}},
       {"platform", JsonValue::Object{{"config_ip", "127.0.0.1"},
-                                     {"config_port", int{m_platform_port}}}}};
+                                     {"config_port", platform_port}}}};
   if (!vm.spec.upstream.empty()) {
     const int port =
         m_spec.relay_upstream ? vm.upstream_relay_port : vm.upstream_port;
@@ -247,6 +251,12 @@
                      vm.upstream_relay_control_port, 0),
         m_folder + "/relay.log");
   }
+  if (m_spec.relay_platform) {
+    vm.platform_relay = std::make_unique<Process>(
+        RelayCommand(vm.platform_relay_port, m_platform_port,
+                     vm.platform_relay_control_port, 0),
+        m_folder + "/relay.log");
+  }
 }
 
 void LocalFleet::StartUpstream(std::size_t index) {
--- a/testsuite/support/local_fleet.h
+++ b/testsuite/support/local_fleet.h
@@ -16,10 +16,10 @@
 ///
 /// A fleet consists of one platform stand-in and, for each VM, a node and
 /// optionally an upstream stand-in. On request a relay is put before each
-/// node's inner port or before each upstream, so that a test can inject network
-/// faults. All ports are free ports of 127.0.0.1, chosen when the fleet starts.
-/// Tests drive the processes through their control ports and read the state of
-/// a node from its dump.
+/// node's inner port, before each upstream, or between each node and the
+/// platform, so that a test can inject network faults. All ports are free ports
+/// of 127.0.0.1, chosen when the fleet starts. Tests drive the processes
+/// through their control ports and read the state of a node from its dump.
 ///
 /// The settings files, the configuration, and a log for each process are in a
 /// temporary folder, which is removed with the fleet unless the environment
@@ -49,8 +49,9 @@
   JsonValue::Object settings;
   /// Options of services in the configuration: JSON text by service name.
   std::map<std::string, std::string> service_options;
-  bool relay_inner = false;          ///< A relay before each inner port.
-  bool relay_upstream = false;       ///< A relay before each upstream.
+  bool relay_inner = false;     ///< A relay before each inner port.
+  bool relay_upstream = false;  ///< A relay before each upstream.
+  bool relay_platform = false;  ///< A relay between each node and the platform.
   std::uint64_t inner_delay_us = 0;  ///< One-way delay of the inner relays.
   bool use_test_nodes = false;       ///< Run yuccamast-testnode.
 };
@@ -67,10 +68,13 @@
   std::uint16_t inner_relay_control_port = 0;
   std::uint16_t upstream_relay_port = 0;
   std::uint16_t upstream_relay_control_port = 0;
+  std::uint16_t platform_relay_port = 0;
+  std::uint16_t platform_relay_control_port = 0;
   std::unique_ptr<Process> node;
   std::unique_ptr<Process> upstream;
   std::unique_ptr<Process> inner_relay;
   std::unique_ptr<Process> upstream_relay;
+  std::unique_ptr<Process> platform_relay;
 };
 
 /// Starts all processes on construction and kills them on destruction. Not
