Ignore SIGTERM during a planned stop

What callers saw: in a planned stop, a connection closed without an answer, and orders at which a back end was at work answered 502. Cause: a second SIGTERM during a stop ended the node at once. Change: a SIGTERM during a stop has no effect; a SIGINT ends the node at once. On the code before The expression (order.status) == (200U) is false. [FAIL] planned_stop::repeated_sigterm_cuts_no_call Tested: 4 | Passing: 3 | Failing: 1 Measured: planned_stop 4 of 4 pass.

--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -127,13 +127,13 @@
     m_stop_signals.add(SIGINT);
   }
   m_stop_signals.async_wait(
-      [this](const boost::system::error_code& error, int) {
+      [this](const boost::system::error_code& error, int signal) {
         if (error) {
           return;
         }
         if (m_phase == StopPhase::kServing) {
           BeginStop();
-        } else {
+        } else if (signal == SIGINT) {
           FinishStop(true);
           return;
         }
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -35,8 +35,9 @@
 /// 3. Stopped. Peers get a GOAWAY and a moment to close their connections; then
 ///    everything is closed and `Run` returns.
 /// If calls or connections of callers are left after the drain time, or at a
-/// second signal, the stop is overrun: the ids of the calls that are left are
-/// logged, and these calls and connections are dropped.
+/// SIGINT during the stop, the stop is overrun: the ids of the calls that are
+/// left are logged, and these calls and connections are dropped. A SIGTERM
+/// during the stop has no effect: stops for different reasons may overlap.
 ///
 /// SIGHUP reloads the settings. A change of the settings file is also found by
 /// polling.
--- a/testsuite/planned_stop_test.cpp
+++ b/testsuite/planned_stop_test.cpp
@@ -90,3 +90,34 @@
   cr_expect_eq(fleet.vm(0).node->Wait(std::chrono::seconds(10)).value_or(-1),
                0);
 }
+
+// Guards against calls that are cut since the stop of the node was asked for
+// twice: a restart and a shutdown of its VM may overlap.
+Test(planned_stop, repeated_sigterm_cuts_no_call) {
+  LocalFleet fleet(StopFleetSpec(milliseconds(400), milliseconds(4000)));
+  cr_assert(fleet.WaitUntilReady());
+  ReceivedReply order;
+  std::thread caller([&] {
+    order = SendRequest(fleet.vm(0).caller_port, "POST", "/order?sleep_ms=2000",
+                        "data", "X-Load-Id: order\r\n");
+  });
+  std::this_thread::sleep_for(milliseconds(200));
+  for (int i = 0; i < 3; ++i) {
+    fleet.vm(0).node->Signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(300));
+  }
+  caller.join();
+  cr_expect_eq(order.status, 200U, "%s", order.raw.c_str());
+  cr_expect_eq(fleet.vm(0).node->Wait(std::chrono::seconds(10)).value_or(-1),
+               0);
+}
+
+// Guards against a node that an operator cannot end at once.
+Test(planned_stop, second_sigint_ends_the_node_at_once) {
+  LocalFleet fleet(StopFleetSpec(milliseconds(5000), milliseconds(20000)));
+  cr_assert(fleet.WaitUntilReady());
+  fleet.vm(0).node->Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.vm(0).node->Signal(SIGINT);
+  cr_expect_eq(fleet.vm(0).node->Wait(std::chrono::seconds(4)).value_or(-1), 1);
+}
