Ignore SIGPIPE, so that a node survives the reader of its log

What callers saw: all connections to a node closed. Cause: a write to a pipe whose reader has gone raises SIGPIPE, which ends a process by default. Sockets are written without the signal, the log was not. Evidence: a trial ended with exit status -13 when the reader of the log was closed.

--- a/src/yuccamast/cmd_node.cpp
+++ b/src/yuccamast/cmd_node.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -91,6 +92,12 @@
   return Result<NodeSettings, SettingsError>(std::move(setup.value().settings));
 }
 
+/// Keeps signals from ending the process. SIGPIPE comes when the reader of the
+/// log has gone.
+void IgnoreSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
 /// Runs a node with the settings in `file` until its planned stop has ended.
 /// Returns the exit code.
 int RunFromSettings(const std::string& file) {
@@ -119,6 +126,7 @@
 }  // namespace
 
 int RunNode(int argc, char** argv) {
+  IgnoreSignals();
   cxxopts::Options options("yuccamast node",
                            "Runs a node, the process beside an upstream, "
                            "until SIGTERM or SIGINT and the planned stop that "
