Wait for an address in use when a node starts

What callers saw: no node at its address. Users saw a system that did not start, or processes that ended by themselves, in a run with real processes, without logs. Cause: each address was bound once. If a predecessor that was still ending, or another process, held it, the node exited with code 1, or aborted since threads ran. Handlers of SIGTERM and SIGINT are installed before the node accepts callers, so that a stop at the start cuts none.

--- a/src/libyuccamast/admin/control_server.cpp
+++ b/src/libyuccamast/admin/control_server.cpp
@@ -7,9 +7,11 @@
 #include <cxxtools/http/responder.h>
 #include <cxxtools/http/server.h>
 #include <cxxtools/http/service.h>
+#include <cxxtools/net/tcpserver.h>
 #include <cxxtools/regex.h>
 
 #include <algorithm>
+#include <system_error>
 #include <thread>
 
 namespace yuccamast {
@@ -68,7 +70,7 @@
     m_server.addService(cxxtools::Regex(".*"), m_service);
     std::for_each(ports.begin(), ports.end(), [&](std::uint16_t port) {
       if (port != 0) {
-        m_server.listen(ip, port);
+        Listen(ip, port);
       }
     });
     m_thread = std::thread([this] { m_loop.run(); });
@@ -81,6 +83,15 @@
   }
 
  private:
+  void Listen(const std::string& ip, std::uint16_t port) {
+    try {
+      m_server.listen(ip, port);
+    } catch (const cxxtools::net::AddressInUse&) {
+      throw std::system_error(std::make_error_code(std::errc::address_in_use),
+                              ip + ":" + std::to_string(port));
+    }
+  }
+
   cxxtools::EventLoop m_loop;
   Service m_service;
   cxxtools::http::Server m_server;
--- a/src/libyuccamast/admin/control_server.h
+++ b/src/libyuccamast/admin/control_server.h
@@ -32,7 +32,8 @@
 class ControlServer {
  public:
   /// Listens on each of `ports` at `ip`; ports that are 0 are left out. Throws
-  /// std::exception if one cannot be listened on.
+  /// std::system_error with `address_in_use` if one is taken, another
+  /// std::exception if it cannot be listened on for another reason.
   ControlServer(const std::string& ip,
                 const std::vector<std::uint16_t>& ports,
                 ControlHandler handler);
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "log/log.h"
+#include "node/bind.h"
 
 namespace yuccamast {
 
@@ -123,7 +124,7 @@
   m_acceptor.open(endpoint.protocol());
   m_acceptor.set_option(tcp::acceptor::reuse_address(true));
   m_acceptor.set_option(ReusePort(true));
-  m_acceptor.bind(endpoint);
+  BindWhenFree(m_acceptor, endpoint);
   m_acceptor.listen();
   m_work_guard.emplace(m_io.get_executor());
   if (m_shared.settings.asks_load) {
--- a/src/libyuccamast/node/exit_server.cpp
+++ b/src/libyuccamast/node/exit_server.cpp
@@ -1,5 +1,7 @@
 #include "node/exit_server.h"
 
+#include "node/bind.h"
+
 #include <algorithm>
 
 namespace yuccamast {
@@ -22,7 +24,7 @@
                                m_settings.inner_port);
   m_acceptor.open(endpoint.protocol());
   m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-  m_acceptor.bind(endpoint);
+  BindWhenFree(m_acceptor, endpoint);
   m_acceptor.listen();
   if (m_settings.asks_load) {
     m_load_query_server.Open(
--- a/src/libyuccamast/node/gossip_socket.cpp
+++ b/src/libyuccamast/node/gossip_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "link/message_mac.h"
 #include "link/messages.h"
+#include "node/bind.h"
 
 namespace yuccamast {
 
@@ -19,7 +20,7 @@
   const udp::endpoint endpoint(boost::asio::ip::make_address(m_settings.ip),
                                m_settings.inner_port);
   m_socket.open(endpoint.protocol());
-  m_socket.bind(endpoint);
+  BindWhenFree(m_socket, endpoint);
   StartReceive();
 }
 
--- a/src/libyuccamast/node/load_query.cpp
+++ b/src/libyuccamast/node/load_query.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include "link/messages.h"
+#include "node/bind.h"
 
 namespace yuccamast {
 
@@ -151,7 +152,7 @@
 void LoadQueryServer::Open(const std::string& ip, std::uint16_t port) {
   const udp::endpoint endpoint(boost::asio::ip::make_address(ip), port);
   m_socket.open(endpoint.protocol());
-  m_socket.bind(endpoint);
+  BindWhenFree(m_socket, endpoint);
   m_socket.non_blocking(true);
   StartReceive();
 }
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -4,8 +4,10 @@
 #include <boost/asio/post.hpp>
 #include <future>
 #include <random>
+#include <system_error>
 
 #include "log/log.h"
+#include "node/bind.h"
 #include "yuccamast/version.h"
 
 namespace yuccamast {
@@ -59,14 +61,11 @@
 Node::~Node() = default;
 
 int Node::Run() {
+  // Before callers can connect, so that a stop never cuts them.
+  ArmSignals();
   StartExitAndEntries();
   m_control_plane.Start();
-  m_control_server = std::make_unique<ControlServer>(
-      m_settings.ip,
-      std::vector<std::uint16_t>{m_settings.control_port,
-                                 m_settings.ready_port},
-      [this](const std::string& path) { return HandleControlRequest(path); });
-  ArmSignals();
+  StartControlServer();
   ArmReload();
   Log(LogLevel::kInfo, LogEvent::kNodeStarted,
       {{"version", kVersion},
@@ -100,6 +99,30 @@
   }
 }
 
+void Node::StartControlServer() {
+  const bool started = RetryWhileInUse([this] {
+    try {
+      m_control_server = std::make_unique<ControlServer>(
+          m_settings.ip,
+          std::vector<std::uint16_t>{m_settings.control_port,
+                                     m_settings.ready_port},
+          [this](const std::string& path) {
+            return HandleControlRequest(path);
+          });
+      return true;
+    } catch (const std::system_error& error) {
+      if (error.code() != std::errc::address_in_use) {
+        throw;
+      }
+      return false;
+    }
+  });
+  if (!started) {
+    throw std::system_error(std::make_error_code(std::errc::address_in_use),
+                            "control or ready port");
+  }
+}
+
 bool Node::RunOnExitThread(std::function<void()> work) {
   const auto done = std::make_shared<std::promise<void>>();
   auto future = done->get_future();
--- a/src/libyuccamast/node/node.h
+++ b/src/libyuccamast/node/node.h
@@ -75,10 +75,11 @@
 
   /// Serves until SIGTERM or SIGINT and the planned stop that follows. Blocks;
   /// the calling thread becomes the control thread. Returns the exit code of
-  /// the process: 0, or 1 if the stop was overrun. Throws
-  /// boost::system::system_error if the inner TCP port or, with `asks_load`,
-  /// the UDP port for load queries is not free. If another address is not free,
-  /// the process aborts, since threads run by then.
+  /// the process: 0, or 1 if the stop was overrun. Waits for up to
+  /// `kBindTimeout` for an address in use. Throws boost::system::system_error
+  /// if the inner TCP port or, with `asks_load`, the UDP port for load queries
+  /// is not free then. If another address is not free, the process aborts,
+  /// since threads run by then.
   int Run();
 
  private:
@@ -90,6 +91,7 @@
   };
 
   void StartExitAndEntries();
+  void StartControlServer();
   void ArmSignals();
   /// Waits for SIGHUP and for the next poll of the settings.
   void ArmReload();
--- a/testsuite/process_start_test.cpp
+++ b/testsuite/process_start_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -29,6 +31,32 @@
   return spec;
 }
 
+/// A socket that listens on, or for UDP is bound to, a port of 127.0.0.1.
+class PortHolder {
+ public:
+  PortHolder(std::uint16_t port, int type)
+      : m_fd(::socket(AF_INET, type | SOCK_CLOEXEC, 0)) {
+    const int on = 1;
+    ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    cr_assert_eq(::bind(m_fd, reinterpret_cast<const sockaddr*>(&address),
+                        sizeof(address)),
+                 0);
+    if (type == SOCK_STREAM) {
+      cr_assert_eq(::listen(m_fd, 1), 0);
+    }
+  }
+  ~PortHolder() { ::close(m_fd); }
+  PortHolder(const PortHolder&) = delete;
+  PortHolder& operator=(const PortHolder&) = delete;
+
+ private:
+  const int m_fd;
+};
+
 void EndNode(LocalFleet& fleet) {
   fleet.vm(0).node->Signal(SIGKILL);
   cr_assert(fleet.vm(0).node->Wait(seconds(5)).has_value());
@@ -36,6 +64,30 @@
 
 }  // namespace
 
+// Guards against a node that does not start because another process, such as
+// its predecessor that is about to end, still holds one of its ports.
+Test(process_start, port_in_use_is_waited_for) {
+  LocalFleet fleet(OneNodeSpec());
+  cr_assert(fleet.WaitUntilReady());
+  const LocalVm& vm = fleet.vm(0);
+  const std::vector<std::pair<std::uint16_t, int>> held = {
+      {vm.caller_port, SOCK_STREAM},
+      {vm.inner_port, SOCK_STREAM},
+      {vm.inner_port, SOCK_DGRAM},
+      {vm.control_port, SOCK_STREAM}};
+  for (const auto& [port, type] : held) {
+    EndNode(fleet);
+    {
+      const PortHolder holder(port, type);
+      fleet.StartNode(0);
+      std::this_thread::sleep_for(milliseconds(500));
+    }
+    cr_expect(fleet.WaitUntilReady(), "port %u, type %d", port, type);
+    cr_expect(fleet.vm(0).node->IsRunning(), "port %u, type %d: exit status %d",
+              port, type, fleet.vm(0).node->Wait(milliseconds(0)).value_or(-1));
+  }
+}
+
 // Guards against a node that ends when the reader of its log does.
 Test(process_start, node_survives_the_reader_of_its_log) {
   LocalFleet fleet(OneNodeSpec());
