Ignore SIGHUP until a starting node handles it

What callers saw: all connections to a node closed, shortly after its start. Cause: SIGHUP says that the settings changed. It ends a process by default, and the node installs its handler only after it has read its settings. Change: the program ignores SIGHUP from its first step. A change in that time is read anyway, or found by the poll of the file.

--- a/src/yuccamast/cmd_node.cpp
+++ b/src/yuccamast/cmd_node.cpp
@@ -93,9 +93,11 @@
 }
 
 /// Keeps signals from ending the process. SIGPIPE comes when the reader of the
-/// log has gone.
+/// log has gone. SIGHUP may come before the node handles it; until then the
+/// settings are yet to be read, or are polled.
 void IgnoreSignals() {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
 }
 
 /// Runs a node with the settings in `file` until its planned stop has ended.
--- a/testsuite/process_start_test.cpp
+++ b/testsuite/process_start_test.cpp
@@ -106,3 +106,29 @@
   cr_expect_eq(SendRequest(fleet.vm(0).control_port, "GET", "/health").status,
                200U);
 }
+
+// Guards against a node that a reload of its settings ends, since the signal
+// comes while it starts. It reads its settings from a FIFO here, so that the
+// test knows how far it is.
+Test(process_start, sighup_before_the_settings_are_read_is_harmless) {
+  LocalFleet fleet(OneNodeSpec());
+  cr_assert(fleet.WaitUntilReady());
+  EndNode(fleet);
+  const std::string fifo = fleet.folder() + "/settings.fifo";
+  cr_assert_eq(::mkfifo(fifo.c_str(), 0600), 0);
+  Process node({YUCCAMAST_BINARY, "node", "--settings", fifo},
+               fleet.folder() + "/fifo.log");
+  int writer = -1;
+  cr_assert(LocalFleet::WaitFor(
+      [&] {
+        // Succeeds once the node opens the FIFO.
+        writer = ::open(fifo.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return writer >= 0;
+      },
+      seconds(5)));
+  node.Signal(SIGHUP);
+  std::this_thread::sleep_for(milliseconds(100));
+  ::close(writer);
+  // Without any settings it reports that and ends with code 1.
+  cr_expect_eq(node.Wait(seconds(5)).value_or(-1), 1);
+}
