--- a/include/yuccamast/membership/source_freshness.h
+++ b/include/yuccamast/membership/source_freshness.h
@@ -84,6 +84,8 @@
   Duration MaxContactAge(const ReaderPosition& position) const;
 
  private:
+  /// Stops when another node reads, or when an attempt reached no platform; the
+  /// next attempt is then due after a random time.
   void StopIfRelieved(const ReaderPosition& position, TimePoint now);
 
   const std::string m_vm;
--- a/testsuite/fleet_test.cpp
+++ b/testsuite/fleet_test.cpp
@@ -54,6 +54,19 @@
   return "";
 }
 
+/// The nodes that read from the platform.
+std::vector<std::size_t> Readers(LocalFleet& fleet) {
+  std::vector<std::size_t> readers;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    const JsonValue dump = fleet.ReadDump(i);
+    const JsonValue* reads = FindByPath(dump, "config.reads_service");
+    if (reads != nullptr && *reads->AsBool()) {
+      readers.push_back(i);
+    }
+  }
+  return readers;
+}
+
 /// A configuration file with `count` prefix rules, whose names and prefixes do
 /// not resemble each other. The rules numbered below `urgent` have urgency 1.
 std::string ManyRulesFile(std::size_t count, std::size_t urgent) {
@@ -154,17 +167,29 @@
 Test(fleet, only_four_nodes_keep_reading_the_platform) {
   LocalFleet fleet(SmallFleetSpec(10));
   cr_assert(fleet.WaitUntilReady());
+  cr_assert(LocalFleet::WaitFor([&] { return Readers(fleet).size() == 4; },
+                                seconds(20)));
+}
+
+// Guards against nodes that act on an old configuration although the platform
+// answers them: it turns away just the nodes that read for all others.
+Test(fleet, change_reaches_all_nodes_while_readers_are_turned_away) {
+  FleetSpec spec = SmallFleetSpec(10);
+  spec.relay_platform = true;
+  LocalFleet fleet(std::move(spec));
+  cr_assert(fleet.WaitUntilReady());
+  std::vector<std::size_t> readers;
   cr_assert(LocalFleet::WaitFor(
       [&] {
-        int readers = 0;
-        for (std::size_t i = 0; i < fleet.size(); ++i) {
-          const JsonValue dump = fleet.ReadDump(i);
-          const JsonValue* reads = FindByPath(dump, "config.reads_service");
-          readers += reads != nullptr && *reads->AsBool() ? 1 : 0;
-        }
-        return readers == 4;
+        readers = Readers(fleet);
+        return readers.size() == 4;
       },
       seconds(20)));
+  std::ranges::for_each(readers, [&](std::size_t index) {
+    fleet.vm(index).platform_relay.reset();
+  });
+  fleet.Publish(5, {});
+  cr_expect(AllNodesAtRevision(fleet, 5, seconds(10)));
 }
 
 // Guards against a rolling restart that brings back an old configuration: while
