Bound the age of a contact that a gossip message carries

What callers could see: a node that keeps an old configuration. Cause: an age above the range of a signed number of milliseconds became a contact in the future, after which the node never counted as without contact. Change: the age is bounded before it is converted. Evidence: on the code before The expression node.freshness().is_substitute() is false. [FAIL] source_freshness::age_out_of_range_counts_as_old Measured: source_freshness 9 of 9 pass.

--- a/src/libyuccamast/membership/source_freshness.cpp
+++ b/src/libyuccamast/membership/source_freshness.cpp
@@ -19,8 +19,8 @@
 /// Mean rate of the later attempts of all nodes together, per second.
 constexpr double kFleetAttemptsPerSecond = 2;
 
-/// Contacts older than this are sent with this age.
-constexpr Duration kMaxSentAge = std::chrono::hours(1);
+/// Contacts older than this are sent and received with this age.
+constexpr auto kMaxSentAge = std::chrono::hours(1);
 
 }  // namespace
 
@@ -46,9 +46,8 @@
   if (contact.vm.empty() || contact.vm == m_vm) {
     return;
   }
-  const auto age = std::min(
-      std::chrono::milliseconds(contact.age_ms),
-      std::chrono::duration_cast<std::chrono::milliseconds>(kMaxSentAge));
+  const std::chrono::milliseconds age(std::min<std::uint64_t>(
+      contact.age_ms, std::chrono::milliseconds(kMaxSentAge).count()));
   const TimePoint contact_at = now - age;
   if (contact_at > m_peer_at) {
     m_peer_at = contact_at;
--- a/src/libyuccamast/membership/source_freshness_test.cpp
+++ b/src/libyuccamast/membership/source_freshness_test.cpp
@@ -169,3 +169,12 @@
   cr_expect_geq(contact.age_ms, 500U);
   cr_expect_lt(contact.age_ms, 600U);
 }
+
+// Guards against a message that keeps a node from reading for ever: an age that
+// a signed number of milliseconds cannot hold would be a contact in the future.
+Test(source_freshness, age_out_of_range_counts_as_old) {
+  Node node;
+  const SourceContact contact{"reader", ~std::uint64_t{0}, true};
+  node.Run(milliseconds(1300), contact, true);
+  cr_expect(node.freshness().is_substitute());
+}
