Refuse replies whose status HTTP does not have

Callers saw: an answer with the status 000, which a backend in trouble had sent. It was passed on as that backend's answer.

Cause: Beast's parser takes any three digits for a status, and no rule of a reply looked at its range. 000 is neither a success nor a status that implies "not run", so the reply counted as valid.

Change: a reply whose status is not in 100 to 599 is refused as reply_incomplete, with an unknown outcome; such a health reply is discarded. It works for every dialect and every value, since the head is checked where it was read.

--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -6,6 +6,7 @@
 
 #include "http/fields.h"
 #include "http/read_limits.h"
+#include "http/reply_head.h"
 #include "log/log.h"
 
 namespace yuccamast {
@@ -179,11 +180,11 @@
   http::async_read_header(
       connection->stream, connection->buffer, *connection->parser,
       [this, connection](const error_code& error, std::size_t) {
-        if (error) {
+        const auto& message = connection->parser->get();
+        if (error || !IsValidReplyHead(message)) {
           OnReply(connection, false);
           return;
         }
-        const auto& message = connection->parser->get();
         connection->reply = {message.result_int(), CopyFields(message), ""};
         ReadBody(connection);
       });
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "http/fields.h"
+#include "http/reply_head.h"
 #include "http/tcp_options.h"
 #include "outcome/injected_fault.h"
 
@@ -211,7 +212,7 @@
     return;
   }
   const unsigned status = m_parser->get().result_int();
-  if (status == 101) {
+  if (!IsValidReplyHead(m_parser->get()) || status == 101) {
     Fail(RefusalReason::kReplyIncomplete);
     return;
   }
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -42,6 +42,9 @@
 /// close. A reply to another request (`ReplyClass::kOtherRequest`) is read and
 /// discarded, up to three times a run, and its connection is not reused.
 ///
+/// Validity: a reply whose head is not valid HTTP (see reply_head.h) fails with
+/// kReplyIncomplete.
+///
 /// Memory: a reply takes at most `UpstreamLimits::max_reply_bytes` for its body
 /// and `ReadBufferBytes` for everything else. One that needs more fails with
 /// kReplyTooLarge or kReplyIncomplete, and its connection is closed.
--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -2,9 +2,8 @@
 
 #include <criterion/criterion.h>
 
-#include <boost/asio/write.hpp>
-
 #include "http/fields.h"
+#include "http/scripted_server.h"
 #include "platform/dialect.h"
 
 using namespace yuccamast;  // NOLINT
@@ -12,73 +11,6 @@
 
 namespace {
 
-/// A TCP server that answers each read with the next of the given texts, and
-/// closes the connection after the last, orderly (FIN) or by a reset (RST).
-class ScriptedServer {
- public:
-  ScriptedServer(boost::asio::io_context& io,
-                 std::vector<std::string> replies,
-                 bool reset)
-      : m_acceptor(io,
-                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-        m_replies(std::move(replies)),
-        m_reset(reset) {
-    Accept();
-  }
-
-  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
-  std::size_t requests() const { return m_requests; }
-
- private:
-  void Accept() {
-    m_acceptor.async_accept([this](const auto& error, tcp::socket socket) {
-      if (!error) {
-        Read(std::make_shared<tcp::socket>(std::move(socket)));
-        Accept();
-      }
-    });
-  }
-
-  void Read(const std::shared_ptr<tcp::socket>& socket) {
-    socket->async_read_some(boost::asio::buffer(m_buffer),
-                            [this, socket](const auto& error, std::size_t) {
-                              if (!error) {
-                                Respond(socket);
-                              }
-                            });
-  }
-
-  void Respond(const std::shared_ptr<tcp::socket>& socket) {
-    const std::size_t index = m_requests++;
-    if (index >= m_replies.size()) {
-      Close(*socket);
-      return;
-    }
-    boost::asio::async_write(*socket, boost::asio::buffer(m_replies[index]),
-                             [this, socket](const auto& error, std::size_t) {
-                               if (error || m_requests >= m_replies.size()) {
-                                 Close(*socket);
-                                 return;
-                               }
-                               Read(socket);
-                             });
-  }
-
-  void Close(tcp::socket& socket) const {
-    if (m_reset) {
-      socket.set_option(boost::asio::socket_base::linger(true, 0));
-    }
-    boost::system::error_code ignored;
-    socket.close(ignored);
-  }
-
-  tcp::acceptor m_acceptor;
-  const std::vector<std::string> m_replies;
-  const bool m_reset;
-  std::array<char, 4096> m_buffer{};
-  std::size_t m_requests = 0;
-};
-
 struct Outcome {
   UpstreamResult result = RefusalReason::kCancelled;
   std::size_t requests = 0;
@@ -291,3 +223,19 @@
     cr_expect_null(FindField(reply->fields, "Response-Seal"));
   }
 }
+
+// Guards against a caller that gets an answer whose status HTTP does not have.
+Test(upstream_pool, reply_with_a_status_out_of_range_is_refused) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    const Outcome outcome =
+        RunRequest({Reply("id-1", "body", std::string(status) + " Trouble")});
+    cr_expect_eq(outcome.Body(), "refused", "status %s", status);
+    cr_expect(InfoOf(outcome.Reason()).run_outcome == RunOutcome::kUnknown);
+    cr_expect_eq(outcome.requests, 1U);
+  }
+  for (const char* status : {"200", "404", "599"}) {
+    cr_expect_eq(
+        RunRequest({Reply("id-1", "body", status + std::string(" X"))}).Body(),
+        "body", "status %s", status);
+  }
+}
