Refuse replies with a folded line in their head

Callers would see: an answer with a spoilt line in it, or with a body that is not the backend's, after a backend in trouble sent a head in which the name of a field began with a blank or a tab.

Cause: Beast's parser joins a line that begins with a blank or a tab to the field before it (obsolete line folding). The line was passed on as a part of that field, the seal perhaps. If it was the one with the length, the body had none, and whatever came until the end of the connection was taken for it. A spoilt health reply could hide that the upstream limits its rate.

Evidence: upstream_pool/reply_with_a_malformed_field_name_is_refused puts each byte that no token has before, within and after a field's name.

Change: the text of a head is kept until it was checked, and a head with a folded line is refused as reply_incomplete, with an unknown outcome. RFC 9112, section 5.2, lets a gateway do so. The parsed fields do not show that lines were joined, so the check needs the text.

--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -1,6 +1,5 @@
 #include "http/health_checker.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -34,7 +33,7 @@
       : stream(io), buffer(ReadBufferBytes(kMaxHeadBytes)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  ReplyBuffer buffer;
   http::request<http::empty_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
   HttpReply reply;   ///< Status and fields of the head.
@@ -177,11 +176,12 @@
 
 void HealthChecker::ReadHead(
     const std::shared_ptr<ProbeConnection>& connection) {
+  connection->buffer.StartHead();
   http::async_read_header(
       connection->stream, connection->buffer, *connection->parser,
       [this, connection](const error_code& error, std::size_t) {
         const auto& message = connection->parser->get();
-        if (error || !IsValidReplyHead(message)) {
+        if (error || !IsValidReplyHead(connection->buffer.EndHead(), message)) {
           OnReply(connection, false);
           return;
         }
--- a/src/libyuccamast/http/health_checker_test.cpp
+++ b/src/libyuccamast/http/health_checker_test.cpp
@@ -47,3 +47,13 @@
         "status %s", status);
   }
 }
+
+// Guards against a rate limit or a load that is overlooked, since a spoilt name
+// joined its line to the field before it.
+Test(health_checker, reply_with_a_folded_line_is_not_taken) {
+  for (const char* start : {" ", "\t"}) {
+    cr_expect_not(IsTaken("HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\n" +
+                          std::string(start) +
+                          "Server-Limit: 2\r\nContent-Length: 0\r\n\r\n"));
+  }
+}
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -191,6 +191,7 @@
   if (m_request.method == "HEAD") {
     m_parser->skip(true);
   }
+  m_connection->buffer.StartHead();
   http::async_read_header(
       m_connection->stream, m_connection->buffer, *m_parser,
       [self = shared_from_this()](const error_code& error, std::size_t) {
@@ -212,7 +213,9 @@
     return;
   }
   const unsigned status = m_parser->get().result_int();
-  if (!IsValidReplyHead(m_parser->get()) || status == 101) {
+  const bool is_valid =
+      IsValidReplyHead(m_connection->buffer.EndHead(), m_parser->get());
+  if (!is_valid || status == 101) {
     Fail(RefusalReason::kReplyIncomplete);
     return;
   }
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -2,7 +2,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
@@ -16,6 +15,7 @@
 
 #include "http/dialect.h"
 #include "http/read_limits.h"
+#include "http/reply_head.h"
 #include "link/messages.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
@@ -137,7 +137,7 @@
     Connection(boost::asio::io_context& io, const UpstreamLimits& limits)
         : stream(io), buffer(ReadBufferBytes(limits.max_head_bytes)) {}
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    ReplyBuffer buffer;
     TimePoint last_used_at;
     /// Incremented when the connection is taken or closed, so that a pending
     /// `WatchIdle` handler of an earlier idle period is ignored.
--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cctype>
+
 #include "http/fields.h"
 #include "http/scripted_server.h"
 #include "platform/dialect.h"
@@ -239,3 +241,40 @@
         "body", "status %s", status);
   }
 }
+
+// Guards against a line with a malformed field name that is passed on, or that
+// hides the end of the body: a byte that no token has stands before, within or
+// after the name, also that of the field with the length of the body.
+Test(upstream_pool, reply_with_a_malformed_field_name_is_refused) {
+  const std::string status_line = "HTTP/1.1 200 OK\r\n";
+  const std::string fields = "Request-Id: id-1\r\nResponse-Seal: s\r\n";
+  const std::string sized = "Content-Length: 4\r\n";
+  const std::string token_punctuation = "!#$%&'*+-.^_`|~";
+  const auto expect_refused = [&](std::string line, std::size_t at, int byte) {
+    line.insert(at, 1, static_cast<char>(byte));
+    for (const std::string& head :
+         {line + fields + sized, fields + line + sized, fields + sized + line,
+          fields + line}) {
+      const Outcome outcome = RunRequest({status_line + head + "\r\nbody"});
+      cr_expect_eq(outcome.Body(), "refused", "byte %d at %zu of %s", byte, at,
+                   line.c_str());
+      cr_expect(InfoOf(outcome.Reason()).run_outcome == RunOutcome::kUnknown);
+    }
+  };
+  for (int byte = 0; byte < 256; ++byte) {
+    const bool is_token_byte =
+        (byte < 128 && std::isalnum(byte) != 0) ||
+        token_punctuation.find(static_cast<char>(byte)) != std::string::npos;
+    if (is_token_byte) {
+      continue;
+    }
+    for (const std::string& line : {std::string("X-Ab: 1\r\n"), sized}) {
+      for (const std::size_t at :
+           {std::size_t{0}, std::size_t{1}, line.find(':')}) {
+        if (byte != ':' || at == 0) {
+          expect_refused(line, at, byte);
+        }
+      }
+    }
+  }
+}
