Refuse a reply without a length after a failed write

Callers saw: a part of an answer as a complete 200. A backend had answered a long upload at once, without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a body without a length ends with its connection, and a reset was told from an orderly close by the error of the read. The kernel reports a reset once, to the first call on the socket. While an upload is being written, that is the write, whose error was ignored, as an upstream may answer before it has read everything. The read then ended as if the close were orderly.

Evidence: upstream_pool/close_delimited_reply_is_incomplete_after_reset_in_upload, on the code before, 3 of 3 runs alike: end 0 after 1 ms end 1 after 1 ms end 0 after 5 ms end 1 after 5 ms end 0 after 50 ms end 1 after 50 ms [FAIL] upstream_pool::close_delimited_reply_is_incomplete_after_reset_in_upload (end 0: reset; end 1: closed with unread bytes, for which the kernel sends a reset.)

Change: a body without a length is complete only if the write has not failed either. The pool's thread gets the error of the write before the end that the read sees because of it, since Asio starts and completes the write first. Replies with a length or in chunks are not affected, nor is an orderly end before the end of the upload: upstream_pool/close_delimited_reply_before_end_of_upload_is_complete passed before and passes.

Measured: both tests passed in 80 of 80 runs, 60 of them beside 12 busy processes on 8 cores.

--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -179,6 +179,7 @@
         // The upstream may reply (refuse, shed) before the whole request was
         // written, so a write error does not end the run.
         self->m_written = !error;
+        self->m_write_failed = static_cast<bool>(error);
       });
   ReadHead();
 }
@@ -282,10 +283,13 @@
 
 void UpstreamRun::OnReplyComplete() {
   // Without Content-Length or chunked coding, the body ends with the
-  // connection. A reset is a read error, so here the close was orderly (FIN);
-  // the dialect decides whether that proves the reply complete.
+  // connection. The kernel reports a reset once, to the write if one is
+  // pending, and ends later reads as if the close were orderly (FIN). Without a
+  // failed write the close was orderly here; the dialect decides whether that
+  // proves the reply complete.
   const bool framed = IsFramed();
-  if (!framed && !m_pool.m_dialect.accepts_close_delimited) {
+  if (!framed &&
+      (m_write_failed || !m_pool.m_dialect.accepts_close_delimited)) {
     Fail(RefusalReason::kReplyIncomplete);
     return;
   }
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -39,7 +39,8 @@
 /// Completeness: a reply that may have a body (not to HEAD, not status 204 or
 /// 304) is accepted only if its end is known from `Content-Length` or the last
 /// chunk, or, if `Dialect::accepts_close_delimited` is set, from an orderly
-/// close. A reply to another request (`ReplyClass::kOtherRequest`) is read and
+/// close; a close does not count as orderly if writing the request failed. A
+/// reply to another request (`ReplyClass::kOtherRequest`) is read and
 /// discarded, up to three times a run, and its connection is not reused.
 ///
 /// Validity: a reply whose head is not valid HTTP (see reply_head.h) fails with
@@ -199,6 +200,7 @@
   std::optional<Parser> m_parser;
   HttpReply m_reply;       ///< Set when its head was read, but for the body.
   bool m_written = false;  ///< The whole request was written.
+  bool m_write_failed = false;
   bool m_finished =
       false;  ///< Reply delivered, failed, not started or aborted.
   std::size_t m_skipped_replies = 0;  ///< Replies to other requests.
--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -27,21 +27,19 @@
   }
 };
 
-/// Runs one request with id `id-1` against a server that answers with
-/// `replies`, in the platform's dialect.
-Outcome RunRequest(const std::vector<std::string>& replies,
-                   bool reset = false) {
-  boost::asio::io_context io;
-  ScriptedServer server(io, replies, reset);
+/// Sends one request with id `id-1` to `endpoint`, in the platform's dialect.
+Outcome SendRequest(boost::asio::io_context& io,
+                    const tcp::endpoint& endpoint,
+                    std::string body = "") {
   UpstreamLimits limits;
   Metrics metrics;
-  UpstreamPool pool(io, server.endpoint(), limits, platform::PlatformDialect(),
-                    metrics);
+  UpstreamPool pool(io, endpoint, limits, platform::PlatformDialect(), metrics);
   Outcome outcome;
   UpstreamRequest request;
   request.method = "POST";
   request.target = "/a/";
   request.request_id = "id-1";
+  request.body = std::move(body);
   UpstreamHooks hooks;
   hooks.start = [] { return true; };
   hooks.reply_head = [] {};
@@ -51,6 +49,16 @@
   };
   const auto run = pool.Run(std::move(request), std::move(hooks));
   io.run_for(std::chrono::seconds(5));
+  return outcome;
+}
+
+/// Runs one request with id `id-1` against a server that answers with
+/// `replies`, in the platform's dialect.
+Outcome RunRequest(const std::vector<std::string>& replies,
+                   bool reset = false) {
+  boost::asio::io_context io;
+  ScriptedServer server(io, replies, reset);
+  Outcome outcome = SendRequest(io, server.endpoint());
   outcome.requests = server.requests();
   return outcome;
 }
@@ -278,3 +286,113 @@
     }
   }
 }
+
+namespace {
+
+/// How an upstream ends the connection on which it has answered an upload
+/// before it has read it.
+enum class UploadEnd {
+  kReset,      ///< By a reset (RST).
+  kClose,      ///< It closes the socket, of which it has not read everything.
+  kReadToEnd,  ///< In order (FIN), and it reads the rest of the upload.
+};
+
+/// A TCP server that answers the start of an upload at once and then ends the
+/// connection after `delay`.
+class EarlyReplyServer {
+ public:
+  EarlyReplyServer(boost::asio::io_context& io,
+                   std::string reply,
+                   UploadEnd end,
+                   std::chrono::milliseconds delay)
+      : m_acceptor(io,
+                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        m_socket(io),
+        m_timer(io),
+        m_reply(std::move(reply)),
+        m_end(end) {
+    m_acceptor.async_accept(m_socket, [this, delay](const auto& error) {
+      if (error) {
+        return;
+      }
+      m_socket.async_read_some(
+          boost::asio::buffer(m_buffer), [this, delay](const auto&, auto) {
+            boost::asio::write(m_socket, boost::asio::buffer(m_reply));
+            m_timer.expires_after(delay);
+            m_timer.async_wait([this](const auto&) { End(); });
+          });
+    });
+  }
+
+  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+ private:
+  void End() {
+    if (m_end == UploadEnd::kReadToEnd) {
+      m_socket.shutdown(tcp::socket::shutdown_send);
+      ReadRest();
+      return;
+    }
+    if (m_end == UploadEnd::kReset) {
+      m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+    }
+    m_socket.close();
+  }
+
+  void ReadRest() {
+    m_socket.async_read_some(boost::asio::buffer(m_buffer),
+                             [this](const auto& error, std::size_t) {
+                               if (!error) {
+                                 ReadRest();
+                               }
+                             });
+  }
+
+  tcp::acceptor m_acceptor;
+  tcp::socket m_socket;
+  boost::asio::steady_timer m_timer;
+  const std::string m_reply;
+  const UploadEnd m_end;
+  std::array<char, 4096> m_buffer{};
+};
+
+/// Sends an upload that does not fit the buffers of the sockets to a server
+/// that answers it early without a length.
+Outcome RunUpload(UploadEnd end, std::chrono::milliseconds delay) {
+  constexpr std::size_t kUploadBytes = 32U << 20U;
+  boost::asio::io_context io;
+  const EarlyReplyServer server(
+      io,
+      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n\r\nstart",
+      end, delay);
+  return SendRequest(io, server.endpoint(), std::string(kUploadBytes, 'x'));
+}
+
+constexpr std::array<std::chrono::milliseconds, 4> kEndDelays = {
+    std::chrono::milliseconds(0), std::chrono::milliseconds(1),
+    std::chrono::milliseconds(5), std::chrono::milliseconds(50)};
+
+}  // namespace
+
+// Guards against a part of a body that is taken for the whole: the upstream
+// answers a long upload at once, without a length, and resets the connection
+// while the upload is still written.
+Test(upstream_pool, close_delimited_reply_is_incomplete_after_reset_in_upload) {
+  for (const auto delay : kEndDelays) {
+    for (const UploadEnd end : {UploadEnd::kReset, UploadEnd::kClose}) {
+      const Outcome outcome = RunUpload(end, delay);
+      cr_expect_eq(outcome.Body(), "refused", "end %d after %ld ms",
+                   static_cast<int>(end), static_cast<long>(delay.count()));
+      cr_expect(InfoOf(outcome.Reason()).run_outcome == RunOutcome::kUnknown);
+    }
+  }
+}
+
+// Guards against a complete reply that is withheld: the upstream answers a long
+// upload at once, without a length, ends its reply in order and reads on.
+Test(upstream_pool, close_delimited_reply_before_end_of_upload_is_complete) {
+  for (const auto delay : kEndDelays) {
+    cr_expect_eq(RunUpload(UploadEnd::kReadToEnd, delay).Body(), "start",
+                 "after %ld ms", static_cast<long>(delay.count()));
+  }
+}
