Refuse replies with a transfer coding other than chunked

Callers would see: a body that is not the backend's, namely the coded one, as a complete answer. No run with real backends showed it; it was found while the reads of answers were checked.

Cause: Beast decodes the transfer coding `chunked` and leaves any other to its user. The node removes Transfer-Encoding, as it concerns one connection only, so a body with another coding was passed on as if it had none.

The node sends no TE field, so a sound upstream uses `chunked` only (RFC 9112, section 7.4).

--- a/src/libyuccamast/http/reply_head.h
+++ b/src/libyuccamast/http/reply_head.h
@@ -16,6 +16,10 @@
 /// name was spoilt: its text would become part of another field, and a length
 /// that it gives would be lost. The parsed fields do not show that lines were
 /// joined, so `ReplyBuffer` keeps the text of the head.
+///
+/// The parser decodes the transfer coding `chunked` and leaves a body with any
+/// other one as it is, for its user to decode. Transfer-Encoding is not passed
+/// on, so such a body would be taken for the decoded one.
 
 namespace yuccamast {
 
@@ -56,8 +60,9 @@
 };
 
 /// Whether a head is valid: its status is in the range of status codes, 100 to
-/// 599 (RFC 9110, section 15), and no line is folded. `text` is the whole head
-/// as received and `head` its parsed form. Thread-safe.
+/// 599 (RFC 9110, section 15), no line is folded, and there is no transfer
+/// coding but `chunked`. `text` is the whole head as received and `head` its
+/// parsed form. Thread-safe.
 bool IsValidReplyHead(std::string_view text,
                       const boost::beast::http::response_header<>& head);
 
--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -287,6 +287,25 @@
   }
 }
 
+// Guards against a coded body that is passed on as the body itself: the node
+// removes Transfer-Encoding but decodes `chunked` only.
+Test(upstream_pool, reply_with_another_transfer_coding_is_refused) {
+  const std::string start =
+      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n"
+      "Transfer-Encoding: ";
+  const std::string rest = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const char* coding :
+       {"gzip", "identity", "gzip, chunked", "chunked, gzip",
+        "chunked, chunked", "xchunked", "chunked;q=1", "", ","}) {
+    cr_expect_eq(RunRequest({start + coding + rest}).Body(), "refused",
+                 "coding '%s'", coding);
+  }
+  for (const char* coding : {"chunked", "Chunked", " chunked "}) {
+    cr_expect_eq(RunRequest({start + coding + rest}).Body(), "body",
+                 "coding '%s'", coding);
+  }
+}
+
 namespace {
 
 /// How an upstream ends the connection on which it has answered an upload
