Test that ambiguous lengths and other protocol versions are refused

Change: two tests of heads that Beast's parser refuses: a status line with a version other than 1.0 and 1.1; a length that is malformed, given twice, or given beside chunks.

--- a/src/libyuccamast/http/upstream_pool_test.cpp
+++ b/src/libyuccamast/http/upstream_pool_test.cpp
@@ -306,6 +306,39 @@
   }
 }
 
+// Guards against a caller that gets bytes of another protocol as an answer.
+Test(upstream_pool, reply_of_another_protocol_version_is_refused) {
+  const std::string rest =
+      " 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  for (const char* version : {"0.0", "0.9", "2.0", "9.9"}) {
+    cr_expect_eq(RunRequest({"HTTP/" + std::string(version) + rest}).Body(),
+                 "refused", "version %s", version);
+  }
+  for (const char* version : {"1.0", "1.1"}) {
+    cr_expect_eq(RunRequest({"HTTP/" + std::string(version) + rest}).Body(),
+                 "body", "version %s", version);
+  }
+}
+
+// Guards against a body that ends elsewhere than the upstream's: its length is
+// malformed or given in two ways.
+Test(upstream_pool, reply_with_an_ambiguous_length_is_refused) {
+  const std::string start =
+      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Seal: s\r\n";
+  for (const char* fields :
+       {"Content-Length: ", "Content-Length: +4", "Content-Length: -4",
+        "Content-Length: 4 4", "Content-Length: 0x4", "Content-Length: 4,5",
+        "Content-Length: 99999999999999999999",
+        "Content-Length: 4\r\nContent-Length: 5",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4"}) {
+    cr_expect_eq(
+        RunRequest({start + fields + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}).Body(),
+        "refused", "%s", fields);
+  }
+}
+
 namespace {
 
 /// How an upstream ends the connection on which it has answered an upload
