--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -200,7 +200,7 @@
   std::optional<Parser> m_parser;
   HttpReply m_reply;       ///< Set when its head was read, but for the body.
   bool m_written = false;  ///< The whole request was written.
-  bool m_write_failed = false;
+  bool m_write_failed = false;  ///< Writing it ended with an error.
   bool m_finished =
       false;  ///< Reply delivered, failed, not started or aborted.
   std::size_t m_skipped_replies = 0;  ///< Replies to other requests.
