--- a/src/libyuccamast/http/reply_head.h
+++ b/src/libyuccamast/http/reply_head.h
@@ -42,8 +42,9 @@
     return m_head;
   }
 
-  /// Hides the function of the base class; parsers call it as a template
-  /// parameter's.
+  /// Removes bytes that a parser has read. Beast's read operations are
+  /// templates on the type of the buffer, so they call this and not the base
+  /// class's.
   void consume(std::size_t size) {  // NOLINT(readability-identifier-naming)
     if (m_in_head) {
       m_head.append(static_cast<const char*>(data().data()),
