--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -60,6 +60,7 @@
     "log_dropped",
     "source_call_failed",
     "source_item_refused",
+    "source_word_unknown",
     "config_read",
     "document_fetched",
     "document_fetch_failed",
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -72,6 +72,7 @@
   kLogDropped,
   kSourceCallFailed,
   kSourceItemRefused,
+  kSourceWordUnknown,
   kConfigRead,
   kDocumentFetched,
   kDocumentFetchFailed,
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -43,6 +43,8 @@
     {"config_reads", "Calls on the configuration service."},
     {"vm_list_reads", "Calls on the VM list."},
     {"source_items_refused", "Items of the source that cannot be understood."},
+    {"source_words_unknown",
+     "Unknown words in items of the source, read conservatively."},
     {"control_bytes_sent", "Bytes of control messages sent to peers."},
     {"control_bytes_received", "Bytes of control messages from peers."},
     {"control_messages_sent", "Control messages sent to peers."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -49,6 +49,7 @@
   kConfigReads,
   kVmListReads,
   kSourceItemsRefused,
+  kSourceWordsUnknown,
   kControlBytesSent,
   kControlBytesReceived,
   kControlMessagesSent,
