Count the offer at a silent node before a call is retried

Cause: when a link was suspect, an idempotent call asked for a retry before the offer that it gave up was counted as an arrival. With max_upstreams 1 it reached two upstreams; callers' requests ran twice, and so did the calls that such a run makes.

Change: the open offer is counted first, and uncounted if no retry is allowed and the call goes on waiting.

--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -368,13 +368,17 @@
 }
 
 void EntryCall::OnSuspect() {
-  if (m_finished || !m_attempt.open || !m_rule->idempotent ||
-      !TryBeginRetry()) {
+  if (m_finished || !m_attempt.open || !m_rule->idempotent) {
+    return;
+  }
+  // The open offer counts before the retry is decided: it may be running.
+  ++m_arrivals;
+  if (!TryBeginRetry()) {
+    --m_arrivals;
     return;
   }
   m_attempt.link->Cancel(m_attempt.offer);
   EndAttempt(AttemptEnd::kFailed);
-  ++m_arrivals;
   m_may_have_run = true;
   OfferToNext(RefusalReason::kPeerLost);
 }
--- a/testsuite/silence_test.cpp
+++ b/testsuite/silence_test.cpp
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
+#include <vector>
 
 #include "support/local_fleet.h"
 
@@ -23,7 +25,10 @@
   spec.vms.push_back({"vm-3", "shop-3", "shop"});
   spec.config_files.push_back({"20-rules.json", R"({"rules": {
     "order": {"service": "shop", "method": "POST", "path": "/order",
-              "deadline_ms": 8000}}})"});
+              "deadline_ms": 8000},
+    "read": {"service": "shop", "method": "GET", "path": "/read/**",
+             "idempotent": true, "deadline_ms": 8000,
+             "max_upstreams": 1}}})"});
   return spec;
 }
 
@@ -53,3 +58,30 @@
   cr_expect(reply.body.starts_with("id=once "), "%s", reply.raw.c_str());
   cr_expect_eq(fleet.ReadLedgers()["once"], 1U);
 }
+
+// Guards against an idempotent call that reaches more upstreams than its rule
+// allows, since the one that it is given up at, beside a silent node, was not
+// counted.
+Test(silence, call_given_up_at_a_silent_node_counts_as_arrived) {
+  constexpr std::size_t kCalls = 12;
+  LocalFleet fleet(SilenceFleetSpec());
+  cr_assert(fleet.WaitUntilReady());
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    callers.emplace_back([&fleet, i] {
+      SendRequest(fleet.vm(0).caller_port, "GET", "/read/1?sleep_ms=3000", "",
+                  "X-Load-Id: read-" + std::to_string(i) + "\r\n");
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  fleet.vm(1).node->Signal(SIGSTOP);
+  std::this_thread::sleep_for(milliseconds(1500));
+  fleet.vm(1).node->Signal(SIGCONT);
+  std::ranges::for_each(callers, [](std::thread& thread) { thread.join(); });
+  const auto runs = fleet.ReadLedgers();
+  cr_expect_geq(runs.size(), kCalls / 2);
+  std::ranges::for_each(runs, [](const auto& item) {
+    cr_expect_eq(item.second, 1U, "%s ran %u times", item.first.c_str(),
+                 item.second);
+  });
+}
