Let an operator empty a data centre

Cause: the platform's store holds the key op/evacuate/NAME from the operator's request until he takes it back, and no code read it: calls went on to the upstreams there.

Entries neither choose nor query an upstream of an emptied data centre, and refuse a call at once if its service has upstreams nowhere else. Exits there refuse queued and new calls as "evacuated" (503, not run, movable); running calls end, the health checks go on, and the node stays ready for its callers. Log events, counters, dump and status show it. ExitCalls::OnDataCentreReturned is the one place at which an exit learns that its data centre is taken back.

Each test fails with its part taken out. users_store, without reading the key (as before this change):

users_store_test.cpp:189: Assertion Failed The expression LocalFleet::WaitFor([&] { return spared(200); }, kBound) is false.

--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -116,6 +116,16 @@
   /// Sets whether membership or the VM list has the upstream as leaving.
   void SetLeaving(bool leaving) { m_leaving.store(leaving, kRelaxed); }
 
+  /// Whether the operator has emptied the data centre of the upstream.
+  bool IsEvacuated() const { return m_evacuated.load(kRelaxed); }
+  void SetEvacuated(bool evacuated) { m_evacuated.store(evacuated, kRelaxed); }
+
+  /// Whether calls may be sent: the upstream is neither leaving nor in an
+  /// emptied data centre.
+  bool IsUsable(TimePoint now) const {
+    return !IsLeaving(now) && !IsEvacuated();
+  }
+
   /// Time for which a report of leaving counts.
   static constexpr Duration kReportedLeavingTtl = std::chrono::seconds(2);
 
@@ -173,6 +183,7 @@
   std::atomic<std::uint32_t> m_sent_since_report{0};
   std::atomic<std::uint32_t> m_unanswered{0};  ///< Load queries in a row.
   std::atomic<bool> m_leaving{false};
+  std::atomic<bool> m_evacuated{false};
   /// Clock ticks; 0: never.
   std::atomic<std::int64_t> m_reported_leaving_at{0};
 };
--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -59,6 +59,9 @@
   kTooManyConnections,
   /// The reply came from another upstream, which did not run the request.
   kMisdirected,
+  /// The operator has emptied the data centre of the upstream, or those of all
+  /// upstreams of the service.
+  kEvacuated,
 };
 
 /// Properties of a reason.
@@ -74,7 +77,7 @@
 };
 
 /// Number of enumerators of `RefusalReason`.
-inline constexpr std::size_t kRefusalReasonCount = 29;
+inline constexpr std::size_t kRefusalReasonCount = 30;
 
 /// The table of reasons, indexed by their values.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -105,9 +105,9 @@
   }
 
  private:
-  /// Whether it is neither leaving nor excluded.
+  /// Whether calls may be sent to it and it is not excluded.
   bool IsUsable(std::size_t index) const {
-    return !m_candidates[index].state->IsLeaving(m_context.now) &&
+    return m_candidates[index].state->IsUsable(m_context.now) &&
            std::ranges::find(m_excluded, index) == m_excluded.end();
   }
 
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -90,7 +90,7 @@
   constexpr std::uint32_t kSpareSlots = 1;
   const std::uint32_t taken = m_reported_in_flight.load(kRelaxed) +
                               m_sent_since_report.load(kRelaxed) + kSpareSlots;
-  return ReportAge(now) <= options.fresh_report_age && !IsLeaving(now) &&
+  return ReportAge(now) <= options.fresh_report_age && IsUsable(now) &&
          m_slowness.load(kRelaxed) < kSlowThresholdPercent &&
          m_wait_us.load(kRelaxed) == 0 && taken < m_limit.load(kRelaxed) &&
          RecentFailures(now, options) == 0.0;
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -66,6 +66,10 @@
     "document_fetch_failed",
     "document_fetch_moved",
     "upstream_rate_limit",
+    "data_centre_evacuated",
+    "data_centre_returned",
+    "exit_evacuated",
+    "exit_returned",
     "internal"};
 
 std::atomic<LogLevel> g_min_level{LogLevel::kWarning};
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -78,6 +78,10 @@
   kDocumentFetchFailed,
   kDocumentFetchMoved,
   kUpstreamRateLimit,
+  kDataCentreEvacuated,
+  kDataCentreReturned,
+  kExitEvacuated,
+  kExitReturned,
   kInternal,
 };
 
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -45,6 +45,8 @@
     {"source_items_refused", "Items of the source that cannot be understood."},
     {"source_words_unknown",
      "Unknown words in items of the source, read conservatively."},
+    {"data_centres_evacuated", "Data centres that the operator emptied."},
+    {"data_centres_returned", "Emptied data centres that were taken back."},
     {"control_bytes_sent", "Bytes of control messages sent to peers."},
     {"control_bytes_received", "Bytes of control messages from peers."},
     {"control_messages_sent", "Control messages sent to peers."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -50,6 +50,8 @@
   kVmListReads,
   kSourceItemsRefused,
   kSourceWordsUnknown,
+  kDataCentresEvacuated,
+  kDataCentresReturned,
   kControlBytesSent,
   kControlBytesReceived,
   kControlMessagesSent,
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -375,7 +375,8 @@
     m_documents.SetVersion(DocumentKind::kVmList, version);
     return;
   }
-  m_vm_list = std::make_shared<const VmList>(std::move(list));
+  const auto before =
+      std::exchange(m_vm_list, std::make_shared<const VmList>(std::move(list)));
   const TimePoint now = Clock::now();
   ApplyVmList(now);
   m_documents.Publish(DocumentKind::kVmList, version, std::move(text));
@@ -387,6 +388,7 @@
   }
   Log(LogLevel::kInfo, LogEvent::kVmListAccepted,
       {{"revision", version.revision}, {"vms", m_vm_list->vms.size()}});
+  ReportEvacuations(before.get());
 }
 
 void ControlPlane::ArmTick() {
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -128,6 +128,9 @@
   /// Applies the list if it is newer; if its VMs are the same, only the version
   /// changes.
   void SubmitVmList(VmList list);
+  /// Logs and counts the data centres that are emptied by the list in use and
+  /// not by `before` (null: none), and those taken back.
+  void ReportEvacuations(const VmList* before) const;
   /// Whether a node without a configuration may apply one from the source: it
   /// is strongly consistent, or peers had time to tell of a newer one.
   bool MayApplySourceConfig() const;
--- a/src/libyuccamast/node/control_report.cpp
+++ b/src/libyuccamast/node/control_report.cpp
@@ -29,6 +29,32 @@
   m_view_store.SetLiveness(std::move(liveness));
 }
 
+void ControlPlane::ReportEvacuations(const VmList* before) const {
+  const VmList& list = *m_vm_list;
+  const auto report = [&](const std::string& name, Counter counter,
+                          LogEvent event) {
+    m_metrics.Add(counter);
+    const auto vms = std::ranges::count(list.vms, name, &VmRecord::data_centre);
+    Log(LogLevel::kInfo, event,
+        {{"data_centre", name}, {"revision", list.revision}, {"vms", vms}});
+  };
+  std::ranges::for_each(list.evacuated, [&](const std::string& name) {
+    if (before == nullptr || !IsEvacuated(*before, name)) {
+      report(name, Counter::kDataCentresEvacuated,
+             LogEvent::kDataCentreEvacuated);
+    }
+  });
+  if (before == nullptr) {
+    return;
+  }
+  std::ranges::for_each(before->evacuated, [&](const std::string& name) {
+    if (!IsEvacuated(list, name)) {
+      report(name, Counter::kDataCentresReturned,
+             LogEvent::kDataCentreReturned);
+    }
+  });
+}
+
 JsonValue ControlPlane::ConfigToJson() const {
   const ConfigVersion version = m_config_selector.version();
   const TimePoint now = Clock::now();
@@ -41,6 +67,10 @@
                                  {"fault", NameOf(error.fault)},
                                  {"detail", error.detail}};
       });
+  JsonValue::Array evacuated;
+  if (m_vm_list != nullptr) {
+    evacuated.assign(m_vm_list->evacuated.begin(), m_vm_list->evacuated.end());
+  }
   return JsonValue::Object{
       {"revision", version.revision},
       {"digest", version.digest},
@@ -55,7 +85,8 @@
        m_source.config_reachable && m_source.config_reachable()},
       {"vm_list_reachable",
        m_source.vm_list_reachable && m_source.vm_list_reachable()},
-      {"vm_list_revision", m_vm_list_version.revision}};
+      {"vm_list_revision", m_vm_list_version.revision},
+      {"evacuated", std::move(evacuated)}};
 }
 
 JsonValue ControlPlane::MembersToJson() const {
@@ -63,18 +94,20 @@
   JsonValue::Array members;
   const auto add = [&](const MemberRecord& record, std::string_view state,
                        bool listed, std::int64_t heard_ms) {
-    members.push_back(
-        JsonValue::Object{{"vm", record.vm},
-                          {"ip", record.ip},
-                          {"inner_port", int{record.port}},
-                          {"data_centre", record.data_centre},
-                          {"region", record.region},
-                          {"state", state},
-                          {"leaving", record.leaving},
-                          {"listed", listed},
-                          {"epoch", record.epoch},
-                          {"config_revision", record.config_revision},
-                          {"heard_ms", heard_ms}});
+    members.push_back(JsonValue::Object{
+        {"vm", record.vm},
+        {"ip", record.ip},
+        {"inner_port", int{record.port}},
+        {"data_centre", record.data_centre},
+        {"region", record.region},
+        {"state", state},
+        {"leaving", record.leaving},
+        {"evacuated",
+         m_vm_list != nullptr && IsEvacuated(*m_vm_list, record.data_centre)},
+        {"listed", listed},
+        {"epoch", record.epoch},
+        {"config_revision", record.config_revision},
+        {"heard_ms", heard_ms}});
   };
   add(m_membership.self(), "self", true, 0);
   for (const auto& [vm, member] : m_membership.members()) {
--- a/src/libyuccamast/node/entry_load_query.cpp
+++ b/src/libyuccamast/node/entry_load_query.cpp
@@ -40,7 +40,7 @@
     const bool excluded =
         std::ranges::find(m_tried, index) != m_tried.end() ||
         std::ranges::find(m_queried, index) != m_queried.end();
-    if (excluded || candidate.state->IsLeaving(now) ||
+    if (excluded || !candidate.state->IsUsable(now) ||
         (near_only &&
          candidate.distance > m_context.settings.distance.same_data_centre)) {
       continue;
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -128,6 +128,9 @@
     return RefusalReason::kLeaving;
   }
   SetObjective();
+  if (m_service->evacuated) {
+    return RefusalReason::kEvacuated;
+  }
   return std::nullopt;
 }
 
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -129,6 +129,9 @@
   if (leaving() || (m_stop_end && end > *m_stop_end)) {
     return RefusalReason::kLeaving;
   }
+  if (m_evacuated) {
+    return RefusalReason::kEvacuated;
+  }
   if (m_pause_detector.IsSettling(now)) {
     return RefusalReason::kPaused;
   }
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -35,7 +35,8 @@
 ///
 /// An offer is checked first: protocol version, name of the upstream, repeated
 /// or late sequence number (one `SequenceWindow` for each offering process),
-/// leaving, a recent pause of this process, nesting depth, memory budget.
+/// leaving, an emptied data centre, a recent pause of this process, nesting
+/// depth, memory budget.
 /// `Admission` then starts it, queues it, or refuses it. The steps of a call
 /// are admitted, started, answered, refused or cancelled, and finished; see
 /// `CallStateMachine`. A call counts as started from `TryStart` on, which runs
@@ -188,8 +189,14 @@
   /// Refuses all queued calls if this thread did not run for a while: what was
   /// queued before such a pause may be obsolete.
   void CheckPause(TimePoint now);
-  /// Applies the limits of the newest configuration.
+  /// Applies the limits of the newest configuration, and whether the operator
+  /// has emptied this data centre.
   void RefreshLimits();
+  /// When the data centre is emptied, refuses all queued calls; running ones go
+  /// on. Calls `OnDataCentreReturned` when it is taken back.
+  void UpdateEvacuated(bool evacuated, TimePoint now);
+  /// The data centre was emptied and is taken back.
+  void OnDataCentreReturned(TimePoint now);
   UpstreamRequest BuildRequest(Call& call) const;
   bool IsUpstreamDraining() const {
     return m_health_checker != nullptr && m_health_checker->draining();
@@ -237,6 +244,7 @@
   bool m_limit_known = false;  ///< A reply has told whether there is one.
   TimePoint m_limit_unknown_since{};
   bool m_listed_leaving = false;  ///< Leaving by the platform's list.
+  bool m_evacuated = false;       ///< The operator has emptied the data centre.
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_tickets;  ///< By stream key.
   /// Sequence numbers seen, by VM and boot id of the offering process.
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -21,7 +21,7 @@
       EstimateSlowdown(now));
   report.oldest_short_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_admission.OldestShortAge(Clock::now())));
-  report.leaving = leaving();
+  report.leaving = leaving() || m_evacuated;
   report.wait_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_admission.ExpectedWait(Clock::now())));
   report.slowness = m_vm_speed.slowness_percent();
@@ -108,6 +108,7 @@
   return JsonValue::Object{
       {"upstream", m_settings.upstream},
       {"leaving", leaving()},
+      {"evacuated", m_evacuated},
       {"upstream_draining", IsUpstreamDraining()},
       {"slots", m_admission.limits().slots},
       {"running", m_admission.running()},
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -178,9 +178,35 @@
   return request;
 }
 
+void ExitCalls::UpdateEvacuated(bool evacuated, TimePoint now) {
+  if (evacuated == m_evacuated) {
+    return;
+  }
+  m_evacuated = evacuated;
+  if (!evacuated) {
+    OnDataCentreReturned(now);
+    return;
+  }
+  const auto queued = m_admission.ClearQueue();
+  std::ranges::for_each(queued, [this](CallTicket ticket) {
+    const CallPtr call = m_calls.at(ticket);
+    RefuseCall(call, RefusalReason::kEvacuated);
+  });
+  Log(LogLevel::kInfo, LogEvent::kExitEvacuated,
+      {{"refused", queued.size()}, {"running", m_admission.running()}});
+}
+
+void ExitCalls::OnDataCentreReturned(TimePoint /*now*/) {
+  Log(LogLevel::kInfo, LogEvent::kExitReturned, {});
+}
+
 void ExitCalls::RefreshLimits() {
   const auto view = m_view_store.Load();
-  if (view == m_limits_view || view->config == nullptr) {
+  if (view == m_limits_view) {
+    return;
+  }
+  UpdateEvacuated(view->evacuated, Clock::now());
+  if (view->config == nullptr) {
     return;
   }
   m_limits_view = view;
--- a/src/libyuccamast/node/fleet_view.cpp
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -105,6 +105,7 @@
   }
   state->SetLeaving(liveness.leaving || UpdateListLeaving(vm, liveness.epoch) ||
                     (listed != nullptr && listed->leaving));
+  state->SetEvacuated(IsEvacuated(*m_vms, vm.data_centre));
   return {state, DistanceTo(vm)};
 }
 
@@ -187,6 +188,7 @@
   view.vms = m_vms;
   if (m_vms != nullptr) {
     view.local = FindLocalUpstream();
+    view.evacuated = IsEvacuated(*m_vms, m_settings.data_centre);
   }
   if (m_config == nullptr || m_vms == nullptr) {
     m_view.store(std::move(rebuild.view), std::memory_order_release);
@@ -212,6 +214,11 @@
   });
   for (auto& [name, service] : view.services) {
     RemoveGoneMembers(service, rebuild.gone[name]);
+    service.evacuated =
+        !service.candidates.empty() &&
+        std::ranges::all_of(service.candidates, [](const Candidate& candidate) {
+          return candidate.state->IsEvacuated();
+        });
   }
   m_states = std::move(rebuild.states);
   m_view.store(std::move(rebuild.view), std::memory_order_release);
@@ -235,6 +242,7 @@
           {"upstream", service.members[i].upstream},
           {"vm", service.members[i].vm},
           {"leaving", state.IsLeaving(now)},
+          {"evacuated", state.IsEvacuated()},
           {"own_in_flight", state.own_in_flight()},
           {"reported_in_flight", state.reported_in_flight()},
           {"report_age_us", age_us},
--- a/src/libyuccamast/node/fleet_view.h
+++ b/src/libyuccamast/node/fleet_view.h
@@ -44,6 +44,9 @@
   std::vector<ServiceMember> members;
   std::vector<Candidate> candidates;
   std::shared_ptr<RetryBudget> retry_budget;
+  /// The operator has emptied the data centres of all upstreams; false if there
+  /// are none.
+  bool evacuated = false;
 };
 
 /// The upstream beside this node, as the platform lists it.
@@ -62,6 +65,9 @@
   std::map<std::string, ServiceView, std::less<>> services;
   /// Set once the platform has listed the upstream beside this node.
   std::optional<LocalUpstream> local;
+  /// The operator has emptied the data centre of this node. Also known while
+  /// the upstream beside it is not listed.
+  bool evacuated = false;
 };
 
 /// State of a VM's node according to membership.
--- a/src/libyuccamast/node/settings_test.cpp
+++ b/src/libyuccamast/node/settings_test.cpp
@@ -79,6 +79,12 @@
     cr_expect_not(ParseVmList(R"({"vms": [)" + good + "," + bad + "]}"));
   }
   cr_expect_not(ParseVmList(R"({"vms": {}})"));
+  for (const char* evacuated : {R"("dc1")", "[1]", R"([""])", "{}", "true"}) {
+    const auto list = ParseVmList(R"({"vms": [], "evacuated": )" +
+                                  std::string(evacuated) + "}");
+    cr_assert(!list, "%s", evacuated);
+    cr_expect_eq(list.error().fields.at(0).key, "evacuated");
+  }
 }
 
 // A written configuration must be parsed back with the same revision and text,
@@ -90,3 +96,18 @@
   cr_expect_eq(parsed.value().revision, 7U);
   cr_expect_eq(parsed.value().files[0].text, config.files[0].text);
 }
+
+// Guards against a set of emptied data centres that is lost between peers, and
+// against a new digest of lists without one.
+Test(published, emptied_data_centres_are_passed_on_to_peers) {
+  VmList list;
+  cr_expect_eq(WriteVmList(list), R"({"revision":0,"vms":[]})");
+  list.evacuated = {"dc1", "dc2"};
+  const auto parsed = ParseVmList(WriteVmList(list));
+  cr_assert(static_cast<bool>(parsed));
+  cr_expect_eq(parsed.value().evacuated, list.evacuated);
+  const auto unsorted =
+      ParseVmList(R"({"vms": [], "evacuated": ["dc2", "dc1", "dc2"]})");
+  cr_assert(static_cast<bool>(unsorted));
+  cr_expect_eq(unsorted.value().evacuated, list.evacuated);
+}
--- a/src/libyuccamast/source/published.cpp
+++ b/src/libyuccamast/source/published.cpp
@@ -75,8 +75,38 @@
   return vm;
 }
 
+std::vector<std::string> ReadEvacuated(ObjectReader& reader) {
+  const JsonValue* value = reader.Get("evacuated");
+  if (value == nullptr) {
+    return {};
+  }
+  const JsonValue::Array* array = value->AsArray();
+  if (array == nullptr) {
+    reader.Report("evacuated", FieldFault::kWrongType);
+    return {};
+  }
+  std::vector<std::string> names;
+  std::ranges::for_each(*array, [&](const JsonValue& item) {
+    const std::string* name = item.AsString();
+    if (name == nullptr) {
+      reader.Report("evacuated", FieldFault::kWrongType);
+    } else if (name->empty()) {
+      reader.Report("evacuated", FieldFault::kOutOfRange);
+    } else {
+      names.push_back(*name);
+    }
+  });
+  std::ranges::sort(names);
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  return names;
+}
+
 }  // namespace
 
+bool IsEvacuated(const VmList& list, std::string_view data_centre) {
+  return std::ranges::binary_search(list.evacuated, data_centre);
+}
+
 Result<PublishedConfig, PublishedError> ParsePublishedConfig(
     std::string_view text) {
   const auto json = ParseJson(text);
@@ -127,6 +157,7 @@
   std::ranges::transform(
       *array, std::back_inserter(list.vms),
       [&](const JsonValue& item) { return ReadVm(item, "vms.", &errors); });
+  list.evacuated = ReadEvacuated(reader);
   reader.Finish();
   std::ranges::sort(list.vms, {}, &VmRecord::id);
   const auto repeated = std::ranges::adjacent_find(list.vms, {}, &VmRecord::id);
@@ -177,8 +208,13 @@
     }
     vms.push_back(std::move(row));
   });
-  return WriteJson(
-      JsonValue::Object{{"revision", list.revision}, {"vms", std::move(vms)}});
+  JsonValue::Object document{{"revision", list.revision},
+                             {"vms", std::move(vms)}};
+  if (!list.evacuated.empty()) {
+    document.push_back({"evacuated", JsonValue::Array(list.evacuated.begin(),
+                                                      list.evacuated.end())});
+  }
+  return WriteJson(document);
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/source/published.h
+++ b/src/libyuccamast/source/published.h
@@ -27,6 +27,11 @@
 /// "state": "live", "cold_ms": 0}]`. A name identifies one instance of an
 /// upstream; after a restart it is listed under another name.
 ///
+/// The optional member `"evacuated": ["dc1"]` of the VM list names the data
+/// centres that the operator has emptied: no call is sent to an upstream there
+/// until the name is removed. A name without any VM has no effect until one is
+/// listed there.
+///
 /// A document with any malformed entry is refused as a whole.
 
 namespace yuccamast {
@@ -77,8 +82,13 @@
 struct VmList {
   std::uint64_t revision = 0;
   std::vector<VmRecord> vms;  ///< Sorted by id, ids unique.
+  /// Names of the emptied data centres, sorted and unique.
+  std::vector<std::string> evacuated;
 };
 
+/// Whether the operator has emptied this data centre. Thread-safe.
+bool IsEvacuated(const VmList& list, std::string_view data_centre);
+
 /// Why a published document is refused.
 struct PublishedError {
   std::string detail;              ///< For the log.
@@ -91,7 +101,8 @@
     std::string_view text);
 
 /// Parses the document of the VM list service; `revision` is 0 if absent. Fails
-/// if a VM id is listed twice or an `ip` is not an IP address. Thread-safe.
+/// if a VM id is listed twice, an `ip` is not an IP address, or `evacuated` is
+/// not an array of names. Thread-safe.
 Result<VmList, PublishedError> ParseVmList(std::string_view text);
 
 /// The inverse of `ParsePublishedConfig`. Thread-safe.
--- a/src/libyuccamast/source/vm_list_retention.h
+++ b/src/libyuccamast/source/vm_list_retention.h
@@ -23,6 +23,9 @@
 /// service returns, and keeps the list from before the first outage. When the
 /// grace period ends, entries that are still missing are dropped.
 ///
+/// The emptied data centres are always those of the new list: the operator's
+/// request does not expire, so one that is missing was taken back.
+///
 /// Input: lists as the service returned them. Output: lists to use and to pass
 /// on to peers. Applying copies the new list; it then takes logarithmic time
 /// for each retained VM, and linear time for each one that has to be inserted.
--- a/src/libyuccamast/source/vm_list_retention_test.cpp
+++ b/src/libyuccamast/source/vm_list_retention_test.cpp
@@ -87,3 +87,17 @@
   cr_expect_gt(retention.ApplyVersioned(incomplete).revision,
                final_list.revision);
 }
+
+// The operator's request does not expire in an outage: one that is missing
+// afterwards was taken back, while its upstreams are still retained.
+Test(vm_list_retention, emptied_data_centres_are_those_of_the_fresh_list) {
+  VmListRetention retention(kGracePeriod);
+  auto before = std::make_shared<VmList>(*ListOf({{"10.0.0.1", "i-1"}}));
+  before->evacuated = {"dc1"};
+  retention.OnSourceLost(before);
+  auto fresh = std::make_shared<VmList>(*ListOf({}));
+  fresh->evacuated = {"dc2"};
+  const VmList list = retention.ApplyVersioned(fresh);
+  cr_expect_eq(list.vms.size(), 1U);
+  cr_expect_eq(list.evacuated, fresh->evacuated);
+}
--- a/src/yuccamast/cmd_inspect.cpp
+++ b/src/yuccamast/cmd_inspect.cpp
@@ -83,6 +83,8 @@
               << " data_centre=" << FieldText(member, "data_centre")
               << " config_revision=" << FieldText(member, "config_revision")
               << " heard_ms=" << FieldText(member, "heard_ms")
+              << (FieldText(member, "evacuated") == "true" ? " evacuated=true"
+                                                           : "")
               << (lags ? " lags=true" : "") << "\n";
   });
   std::cout << "status members=" << members.size()
--- a/testsuite/users_store_test.cpp
+++ b/testsuite/users_store_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <atomic>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <thread>
 
@@ -17,19 +19,25 @@
 namespace {
 
 /// A stand-in of an upstream that answers requests without a body as the users'
-/// upstreams do. Not thread-safe.
+/// upstreams do. Not thread-safe, except for `calls`.
 class UpstreamStandIn {
  public:
-  explicit UpstreamStandIn(boost::asio::io_context& io)
-      : m_acceptor(io,
-                   tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+  explicit UpstreamStandIn(boost::asio::io_context& io,
+                           std::string ip = "127.0.0.1",
+                           std::string name = "i-1")
+      : m_ip(std::move(ip)),
+        m_name(std::move(name)),
+        m_acceptor(io, tcp::endpoint(boost::asio::ip::make_address(m_ip), 0)) {
     Accept();
   }
 
   std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return m_ip + ":" + std::to_string(m_acceptor.local_endpoint().port());
   }
 
+  /// Number of calls received, without those of the health page.
+  int calls() const { return m_calls; }
+
  private:
   void Accept() {
     m_acceptor.async_accept([this](const auto& error, tcp::socket socket) {
@@ -48,6 +56,7 @@
           if (error) {
             return;
           }
+          m_calls += head->starts_with("GET /a/") ? 1 : 0;
           const std::string name = "\r\nRequest-Id: ";
           const std::size_t at = head->find(name);
           const std::string id =
@@ -55,22 +64,26 @@
                   ? ""
                   : head->substr(at, head->find("\r\n", at + 2) - at);
           const std::string reply =
-              "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nResponse-Seal: s" + id +
-              "\r\nContent-Length: 4\r\n\r\nbody";
+              "HTTP/1.1 200 OK\r\nInstance-Id: " + m_name +
+              "\r\nResponse-Seal: s" + id + "\r\nContent-Length: 4\r\n\r\nbody";
           boost::system::error_code ignored;
           boost::asio::write(*socket, boost::asio::buffer(reply), ignored);
           Read(socket);
         });
   }
 
+  const std::string m_ip;
+  const std::string m_name;
+  std::atomic<int> m_calls{0};
   tcp::acceptor m_acceptor;
 };
 
 /// The value of a registration.
 std::string Registration(const std::string& address,
-                         const std::string& service = "ledger") {
+                         const std::string& service = "ledger",
+                         const std::string& zone = "dc1") {
   return R"({"address": ")" + address + R"(", "info": {"service": ")" +
-         service + R"(", "zone": "dc1", "slots": 9},
+         service + R"(", "zone": ")" + zone + R"(", "slots": 9},
          "status": {"state": "ready", "seq": 1}})";
 }
 
@@ -80,10 +93,31 @@
   "services": [{"name": "ledger", "health_path": "/h"},
                {"name": "rounds", "health_path": "/h"}]})";
 
-unsigned CallStatus(LocalFleet& fleet) {
+ReceivedReply CallToNode(LocalFleet& fleet) {
   return SendRequest(fleet.vm(0).caller_port, "GET", "/a/x", "",
-                     "Request-Id: id-1\r\n")
-      .status;
+                     "Request-Id: id-1\r\n");
+}
+
+unsigned CallStatus(LocalFleet& fleet) {
+  return CallToNode(fleet).status;
+}
+
+/// A fleet of the node beside `upstream`, at the IP address `ip`.
+FleetSpec NodeSpec(const StoreStandIn& store,
+                   const UpstreamStandIn& upstream,
+                   const std::string& ip,
+                   const std::string& data_centre) {
+  FleetSpec spec;
+  spec.vms.push_back({ip, "", "", data_centre});
+  spec.settings = {
+      {"ip", ip},
+      {"upstream",
+       JsonValue::Object{{"listed", true}, {"address", upstream.address()}}},
+      {"adapter", JsonValue::Object{{"store", store.address()},
+                                    {"zones", JsonValue::Object{{"dc1", "r1"},
+                                                                {"dc2", "r1"}}},
+                                    {"bounds", JsonValue::Object{}}}}};
+  return spec;
 }
 
 }  // namespace
@@ -106,15 +140,7 @@
   const StoreStandIn store(io, std::move(items));
   std::jthread thread([&io] { io.run(); });
 
-  FleetSpec spec;
-  spec.vms.push_back({"127.0.0.1", "", ""});
-  spec.settings = {
-      {"upstream",
-       JsonValue::Object{{"listed", true}, {"address", upstream.address()}}},
-      {"adapter", JsonValue::Object{{"store", store.address()},
-                                    {"zones", JsonValue::Object{{"dc1", "r1"}}},
-                                    {"bounds", JsonValue::Object{}}}}};
-  LocalFleet fleet(spec);
+  LocalFleet fleet(NodeSpec(store, upstream, "127.0.0.1", "dc1"));
   for (int start = 1; start <= 2; ++start) {
     cr_expect(fleet.WaitUntilReady(), "start %d", start);
     cr_expect_eq(CallStatus(fleet), 200U, "start %d", start);
@@ -123,3 +149,62 @@
   }
   io.stop();
 }
+
+// Guards against calls to a data centre that the operator has emptied: its own
+// callers are served by the other one, also after a restart of the node there;
+// with both emptied, calls are refused as not run; taken back, it gets calls.
+Test(users_store, emptied_data_centre_gets_no_calls_until_it_is_taken_back) {
+  constexpr std::chrono::seconds kBound{5};
+  boost::asio::io_context io;
+  const UpstreamStandIn near(io);
+  const UpstreamStandIn far(io, "127.0.0.2", "i-2");
+  StoreStandIn store(
+      io, {{"op/config", {kConfig}},
+           {"servers/i-1", {Registration(near.address())}},
+           {"servers/i-2", {Registration(far.address(), "ledger", "dc2")}}});
+  std::jthread thread([&io] { io.run(); });
+  const auto change = [&](void (*make)(StoreStandIn&)) {
+    boost::asio::post(io, [&store, make] { make(store); });
+  };
+  LocalFleet fleet(NodeSpec(store, near, "127.0.0.1", "dc1"));
+  FleetSpec far_spec = NodeSpec(store, far, "127.0.0.2", "dc2");
+  for (const char* key : {"inner_port", "advertised_port"}) {
+    far_spec.settings.push_back({key, int{fleet.vm(0).inner_port}});
+  }
+  const LocalFleet far_fleet(far_spec);
+  cr_assert(fleet.WaitUntilReady());
+  // Whether of a few calls all are answered with `status` and `near` gets none.
+  const auto spared = [&](unsigned status) {
+    const int before = near.calls();
+    bool same = true;
+    for (int i = 0; i < 10; ++i) {
+      same = CallStatus(fleet) == status && same;
+    }
+    return same && near.calls() == before;
+  };
+  const auto gets_calls = [&] {
+    const int before = near.calls();
+    return CallStatus(fleet) == 200 && near.calls() > before;
+  };
+  cr_assert(LocalFleet::WaitFor(gets_calls, kBound));
+
+  change([](StoreStandIn& s) { s.Put("op/evacuate/dc1", "{}"); });
+  cr_assert(LocalFleet::WaitFor([&] { return spared(200); }, kBound));
+  cr_expect(spared(200));
+  fleet.vm(0).node->Signal(SIGKILL);
+  fleet.StartNode(0);
+  const int before_restart = near.calls();
+  cr_assert(fleet.WaitUntilReady());
+  cr_expect(LocalFleet::WaitFor([&] { return spared(200); }, kBound));
+  cr_expect_eq(near.calls(), before_restart);
+
+  change([](StoreStandIn& s) { s.Put("op/evacuate/dc2", "{}"); });
+  cr_expect(LocalFleet::WaitFor([&] { return spared(503); }, kBound));
+  cr_expect_eq(CallToNode(fleet).Field("yuccamast-reason"), "evacuated");
+  change([](StoreStandIn& s) {
+    s.Delete("op/evacuate/dc2");
+    s.Delete("op/evacuate/dc1");
+  });
+  cr_expect(LocalFleet::WaitFor(gets_calls, kBound));
+  io.stop();
+}
