--- a/testsuite/restart_test.cpp
+++ b/testsuite/restart_test.cpp
@@ -34,7 +34,7 @@
 }
 
 /// Sends calls to the first node; all must succeed, and the upstream of the
-/// third VM, which has left, must get none.
+/// third VM, which has left or is in an emptied data centre, must get none.
 void ExpectThirdUpstreamUnused(LocalFleet& fleet) {
   const std::string before = Ledger(fleet, 2);
   for (int i = 0; i < 60; ++i) {
@@ -92,3 +92,29 @@
   cr_assert(fleet.WaitUntilReady());
   ExpectThirdUpstreamUnused(fleet);
 }
+
+// Guards against calls to a data centre that the operator has emptied, from a
+// node that was restarted while the platform is down: only its peers can tell
+// it. Its status page marks the member there.
+Test(restart, node_restarted_in_an_outage_holds_an_emptied_data_centre) {
+  FleetSpec spec = ThreeVmSpec();
+  spec.vms[2].data_centre = "dc2";
+  LocalFleet fleet(spec);
+  cr_assert(fleet.WaitUntilReady());
+  fleet.PublishVmList({}, {}, {"dc2"});
+  const auto holds = [&](std::size_t index) {
+    const JsonValue dump = fleet.ReadDump(index);
+    const JsonValue* names = FindByPath(dump, "config.evacuated");
+    return names != nullptr && WriteJson(*names) == R"(["dc2"])";
+  };
+  cr_assert(LocalFleet::WaitFor(
+      [&] { return holds(0) && holds(1) && holds(2); }, seconds(15)));
+  SendRequest(fleet.platform_port(), "GET", "/_standin/set?down=1");
+  fleet.vm(0).node->Signal(SIGKILL);
+  fleet.StartNode(0);
+  cr_assert(fleet.WaitUntilReady());
+  cr_expect(holds(0));
+  ExpectThirdUpstreamUnused(fleet);
+  const auto status = SendRequest(fleet.vm(0).control_port, "GET", "/status");
+  cr_expect_neq(status.body.find(R"("evacuated":true)"), std::string::npos);
+}
--- a/testsuite/support/local_fleet.cpp
+++ b/testsuite/support/local_fleet.cpp
@@ -177,9 +177,11 @@
 
 std::string LocalFleet::VmListText(
     const std::vector<std::string>& omitted,
-    const std::vector<std::string>& leaving) const {
+    const std::vector<std::string>& leaving,
+    const std::vector<std::string>& evacuated) const {
   VmList list;
   list.revision = m_vms_revision;
+  list.evacuated = evacuated;
   std::ranges::for_each(m_vms, [&](const LocalVm& vm) {
     if (std::ranges::find(omitted, vm.spec.vm) != omitted.end()) {
       return;
@@ -331,10 +333,11 @@
 }
 
 void LocalFleet::PublishVmList(const std::vector<std::string>& omitted,
-                               const std::vector<std::string>& leaving) {
+                               const std::vector<std::string>& leaving,
+                               const std::vector<std::string>& evacuated) {
   ++m_vms_revision;
   SendRequest(m_platform_port, "POST", "/_standin/vms",
-              VmListText(omitted, leaving));
+              VmListText(omitted, leaving, evacuated));
 }
 
 JsonValue LocalFleet::ReadDump(std::size_t index) {
--- a/testsuite/support/local_fleet.h
+++ b/testsuite/support/local_fleet.h
@@ -113,10 +113,12 @@
                const std::vector<std::pair<std::string, std::string>>& extra);
 
   /// Publishes a VM list without the VMs in `omitted`, in which those in
-  /// `leaving` are marked as leaving. Both hold VM ids. Each call raises the
-  /// revision of the list by 1.
+  /// `leaving` are marked as leaving. Both hold VM ids. `evacuated` holds the
+  /// names of emptied data centres. Each call raises the revision of the list
+  /// by 1.
   void PublishVmList(const std::vector<std::string>& omitted,
-                     const std::vector<std::string>& leaving);
+                     const std::vector<std::string>& leaving,
+                     const std::vector<std::string>& evacuated = {});
 
   /// Returns the dump of a node, or null if it can't be read or parsed.
   JsonValue ReadDump(std::size_t index);
@@ -138,7 +140,8 @@
  private:
   std::string BaseConfigText() const;
   std::string VmListText(const std::vector<std::string>& omitted,
-                         const std::vector<std::string>& leaving) const;
+                         const std::vector<std::string>& leaving,
+                         const std::vector<std::string>& evacuated = {}) const;
   void WriteFile(const std::string& name, const std::string& text) const;
   void AllocatePorts();
   void StartRelays(LocalVm& vm);
