Run pipelined requests at once and answer them in order

Cause: one request of a connection was handled at a time, so each pipelined request waited for the whole work of those before it, and while one was buffered the caller's disconnect was noticed only after the reply. A call that answered twice could answer the next request.

Change: `Pipeline` holds the unanswered requests of a connection and decides, without a socket, what may be read, started, written and cancelled. The connection reads when it is readable, without blocking, because a pending read cannot be cancelled without the write beside it. A disconnect cancels all calls, also while a reply is written or input is left unread. Settings caller.max_pipelined and max_pipelined_bytes; counters requests_pipelined and calls_cancelled; pending_requests and deepest_pipeline in the dump of each entry worker.

--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -1,83 +1,58 @@
 #include "http/caller_connection.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
+#include <boost/asio/write.hpp>
 #include <utility>
 
-#include "http/fields.h"
 #include "http/read_limits.h"
 #include "http/tcp_options.h"
 #include "log/log.h"
 
 namespace yuccamast {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
-/// In kLingering: longest wait for the next input before the socket is closed.
-constexpr std::chrono::seconds kLingerTime{2};
-
 /// In a stop: longest wait for the first request of a new connection. Callers
 /// connect in order to send, so it is on its way.
 constexpr std::chrono::milliseconds kFirstRequestTime{300};
 
-bool IsBodyTooLarge(const error_code& error) {
-  return error == http::error::body_limit;
-}
-
 }  // namespace
 
-CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
+CallerConnection::CallerConnection(tcp::socket socket,
                                    const Dialect& dialect,
                                    MemoryBudget& budget,
                                    Metrics& metrics,
                                    const CallerHooks& hooks)
-    : m_stream(std::move(socket)),
-      m_timer(m_stream.get_executor()),
+    : m_socket(std::move(socket)),
+      m_timer(m_socket.get_executor()),
+      m_write_timer(m_socket.get_executor()),
       m_dialect(dialect),
       m_limits(hooks.limits()),
       m_metrics(metrics),
       m_hooks(hooks),
-      m_memory(budget),
+      m_pipeline(budget),
       m_buffer(ReadBufferBytes(m_limits.max_head_bytes)) {
-  SetTcpOptions(m_stream.socket(), m_limits.silence);
+  SetTcpOptions(m_socket, m_limits.silence);
+  error_code ignored;
+  m_socket.non_blocking(true, ignored);
 }
 
 void CallerConnection::Start() {
   error_code error;
-  const auto remote = m_stream.socket().remote_endpoint(error).address();
-  const auto local = m_stream.socket().local_endpoint(error).address();
+  const auto remote = m_socket.remote_endpoint(error).address();
+  const auto local = m_socket.local_endpoint(error).address();
   m_from_own_vm = !error && (remote == local || remote.is_loopback());
-  WaitForRequest();
-}
-
-void CallerConnection::WaitForRequest() {
-  m_phase = Phase::kIdle;
-  m_limits = m_hooks.limits();
-  m_request_id.clear();
-  if (m_buffer.size() > 0) {
-    ReadHead();
-    return;
-  }
-  // Waits for readability without a read buffer, so that idle connections
-  // hold no buffer memory.
-  m_buffer = beast::flat_buffer(ReadBufferBytes(m_limits.max_head_bytes));
-  ArmIdleTimer(m_limits.idle_timeout);
-  m_stream.socket().async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
-      [self = shared_from_this()](const error_code& error) {
-        self->OnRequestReadable(error);
-      });
+  ReadOn();
 }
 
 void CallerConnection::ArmIdleTimer(Duration limit) {
   m_timer.expires_after(limit);
   m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-    if (error || self->m_phase != Phase::kIdle) {
+    if (!self->IsTimerDue(error) || !self->idle()) {
       return;
     }
     // If a settings reload raised the idle timeout during the wait, callers
@@ -89,285 +64,158 @@
       self->ArmIdleTimer(remaining);
       return;
     }
-    self->CloseIfIdle();
+    self->Close();
   });
 }
 
-void CallerConnection::OnRequestReadable(const error_code& error) {
-  m_timer.cancel();
-  if (error || m_phase != Phase::kIdle) {
-    Close();
-    return;
+void CallerConnection::StartCalls() {
+  PendingRequest* request = m_pipeline.NextToStart(m_hooks.leaving());
+  while (request != nullptr) {
+    StartCall(*request);
+    request = m_pipeline.NextToStart(m_hooks.leaving());
   }
-  ReadHead();
 }
 
-void CallerConnection::ReadHead() {
-  m_phase = Phase::kReading;
-  m_has_request = true;
-  m_parser.emplace();
-  m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_head_bytes));
-  m_parser->body_limit(m_limits.max_body_bytes);
-  ArmReadTimer(m_limits.head_timeout);
-  http::async_read_header(
-      m_stream, m_buffer, *m_parser,
-      [self = shared_from_this()](const error_code& error, std::size_t) {
-        self->OnHead(error);
-      });
-}
-
-void CallerConnection::ArmReadTimer(Duration limit) {
-  // The timeout of tcp_stream would close the socket, so that no refusal could
-  // be sent. This timer cancels the read only.
-  m_timer.expires_after(limit);
-  m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-    if (!error && self->m_phase == Phase::kReading) {
-      self->m_timed_out = true;
-      self->m_stream.cancel();
-    }
-  });
-}
-
-std::optional<RefusalReason> CallerConnection::ValidateHead() const {
-  const auto& request = m_parser->get();
-  const beast::string_view target = request.target();
-  if (request.method() == http::verb::connect ||
-      request.find(http::field::upgrade) != request.end()) {
-    return RefusalReason::kUnsupported;
-  }
-  if (target.empty() || target.front() != '/') {
-    return RefusalReason::kAmbiguousPath;
+void CallerConnection::StartCall(PendingRequest& request) {
+  request.step = PendingRequest::Step::kRunning;
+  const std::uint64_t id = request.id;
+  CallHandle call =
+      m_hooks.handle_call(std::move(request.request),
+                          [weak = weak_from_this(), id](CallerReply reply) {
+                            if (const auto self = weak.lock()) {
+                              self->OnReply(id, std::move(reply));
+                            }
+                          });
+  // `handle_call` may have called `done` already.
+  PendingRequest* running = m_pipeline.Find(id);
+  if (running != nullptr && running->step == PendingRequest::Step::kRunning) {
+    running->may_overlap = running->http_version >= 11 && call.may_overlap;
+    running->call = std::move(call);
   }
-  const auto count = [&](http::field field) {
-    const auto range = request.equal_range(field);
-    return std::distance(range.first, range.second);
-  };
-  const bool has_coding =
-      request.find(http::field::transfer_encoding) != request.end();
-  const bool has_length = count(http::field::content_length) > 0;
-  if (count(http::field::host) > 1 ||
-      (request.version() >= 11 && count(http::field::host) != 1) ||
-      count(http::field::content_length) > 1 || (has_coding && has_length)) {
-    return RefusalReason::kBadRequest;
-  }
-  const bool is_coding_supported =
-      !has_coding ||
-      (count(http::field::transfer_encoding) == 1 &&
-       EqualIgnoreCase({request[http::field::transfer_encoding].data(),
-                        request[http::field::transfer_encoding].size()},
-                       "chunked"));
-  if (!is_coding_supported) {
-    return RefusalReason::kUnsupported;
-  }
-  return std::nullopt;
 }
 
-void CallerConnection::OnHead(const error_code& error) {
-  if (m_phase == Phase::kClosed) {
-    return;
-  }
-  if (error) {
-    RefuseReadError(error);
-    return;
-  }
-  m_request_fields = CopyFields(m_parser->get());
-  m_http_version = m_parser->get().version();
-  m_keep_alive = m_parser->get().keep_alive();
-  m_is_head_method = m_parser->get().method() == http::verb::head;
-  if (!m_dialect.request_id_field.empty()) {
-    m_request_id = std::string(m_parser->get()[m_dialect.request_id_field]);
-  }
-  if (const auto reason = ValidateHead()) {
-    Refuse(*reason);
-    return;
-  }
-  const auto length = m_parser->content_length();
-  if (length && !m_memory.GrowTo(static_cast<std::size_t>(*length))) {
-    Refuse(RefusalReason::kMemoryFull);
+void CallerConnection::OnReply(std::uint64_t id, CallerReply reply) {
+  const auto* reason = std::get_if<RefusalReason>(&reply.result);
+  const auto refused_as =
+      reason == nullptr ? std::nullopt : std::optional(*reason);
+  if (m_phase != Phase::kOpen || !m_pipeline.Answer(id, std::move(reply))) {
     return;
   }
-  const auto expect = m_parser->get()[http::field::expect];
-  if (!expect.empty() && !m_parser->is_done()) {
-    SendContinue();
-    return;
+  if (refused_as) {
+    m_metrics.AddRefusal(*refused_as);
+  } else {
+    m_metrics.Add(Counter::kCallsAnswered);
   }
-  ReadBody();
+  StartCalls();
+  WriteNext();
 }
 
-void CallerConnection::SendContinue() {
-  static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-  boost::asio::async_write(
-      m_stream, boost::asio::buffer(kContinue),
-      [self = shared_from_this()](const error_code& error, std::size_t) {
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->ReadBody();
-      });
+void CallerConnection::Refuse(RefusalReason reason) {
+  m_metrics.AddRefusal(reason);
+  Log(LogLevel::kDebug, LogEvent::kCallerRefused,
+      {{"reason", InfoOf(reason).name}});
+  m_parser.reset();
+  m_awaits_continue = false;
+  PendingRequest& request = *m_pipeline.reading();
+  request.closes = true;
+  m_pipeline.Answer(request.id, {"", reason});
+  WriteNext();
 }
 
-void CallerConnection::ReadBody() {
-  if (m_parser->is_done()) {
-    OnBody({});
-    return;
-  }
-  ArmReadTimer(m_limits.body_timeout);
-  http::async_read_some(
-      m_stream, m_buffer, *m_parser,
-      [self = shared_from_this()](const error_code& error, std::size_t) {
-        self->OnBody(error);
-      });
+void CallerConnection::RefuseAndClose(RefusalReason reason) {
+  m_pipeline.Begin();
+  Refuse(reason);
 }
 
-void CallerConnection::OnBody(const error_code& error) {
-  if (m_phase == Phase::kClosed) {
+void CallerConnection::WriteNext() {
+  if (m_is_writing) {
     return;
   }
-  if (error) {
-    RefuseReadError(error);
-    return;
-  }
-  if (!m_memory.GrowTo(m_parser->get().body().size())) {
-    Refuse(RefusalReason::kMemoryFull);
+  PendingRequest* request = m_pipeline.NextToWrite(m_hooks.leaving());
+  if (request == nullptr) {
     return;
   }
-  if (!m_parser->is_done()) {
-    ReadBody();
-    return;
+  if (m_pipeline.reading() == nullptr) {
+    m_parser.reset();  // The reply closes, and the request behind is dropped.
+    m_awaits_continue = false;
   }
-  HandleCall();
-}
-
-void CallerConnection::HandleCall() {
-  m_phase = Phase::kHandling;
-  m_timer.cancel();
-  m_stream.expires_never();
-  auto message = m_parser->release();
-  m_parser.reset();
-  CallerRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.fields = std::exchange(m_request_fields, {});
-  request.body = std::move(message.body());
-  request.from_own_vm = m_from_own_vm;
-  m_metrics.Add(Counter::kCallsReceived);
-  m_call = m_hooks.handle_call(std::move(request),
-                               [weak = weak_from_this()](CallerReply reply) {
-                                 if (const auto self = weak.lock()) {
-                                   self->OnReply(std::move(reply));
-                                 }
-                               });
-  if (m_phase == Phase::kHandling) {
-    WatchForDisconnect();
+  CallerReply reply = std::move(*request->reply);
+  if (auto* http_reply = std::get_if<HttpReply>(&reply.result)) {
+    m_response.emplace(
+        BuildReply(std::move(*http_reply), reply.call_id, *request));
   } else {
-    m_call = {};  // `handle_call` has called `done` already.
+    m_response.emplace(BuildRefusal(std::get<RefusalReason>(reply.result),
+                                    reply.call_id, *request));
+  }
+  if (request->closes) {
+    m_response->set(http::field::connection, "close");
+  } else if (request->http_version == 10) {
+    m_response->set(http::field::connection, "keep-alive");
   }
+  ArmWriteTimer();
+  http::async_write(
+      m_socket, *m_response,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnWritten(error);
+      });
 }
 
-void CallerConnection::WatchForDisconnect() {
-  if (m_buffer.size() > 0) {
-    // A pipelined request is buffered, so the caller expects the replies. A
-    // disconnect is not noticed before the reply is written.
-    return;
-  }
-  m_stream.socket().async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
+void CallerConnection::ArmWriteTimer() {
+  m_is_writing = true;
+  m_write_timer.expires_after(m_limits.write_timeout);
+  m_write_timer.async_wait(
       [self = shared_from_this()](const error_code& error) {
-        self->OnReadableDuringCall(error);
+        if (!error && self->m_is_writing &&
+            self->m_write_timer.expiry() <= std::chrono::steady_clock::now()) {
+          self->Close();
+        }
       });
 }
 
-void CallerConnection::OnReadableDuringCall(const error_code& error) {
-  if (m_phase != Phase::kHandling || error) {
+void CallerConnection::OnWritten(const error_code& error) {
+  m_is_writing = false;
+  m_write_timer.cancel();
+  m_response.reset();
+  if (m_phase == Phase::kClosed) {
     return;
   }
-  char byte = 0;
-  const ssize_t received = ::recv(m_stream.socket().native_handle(), &byte, 1,
-                                  MSG_PEEK | MSG_DONTWAIT);
-  const bool would_block = received < 0 && (errno == EAGAIN || errno == EINTR);
-  if (received > 0) {
-    return;  // A pipelined request; it stays in the kernel's socket buffer.
-  }
-  if (would_block) {
-    WatchForDisconnect();
+  if (error || m_caller_left) {
+    Close();
     return;
   }
-  m_metrics.Add(Counter::kCallersGone);
-  const CallHandle call = std::move(m_call);
-  Close();
-  if (call.on_caller_disconnect) {
-    call.on_caller_disconnect();
-  }
-}
-
-void CallerConnection::OnReply(CallerReply reply) {
-  if (m_phase == Phase::kClosed) {
+  const bool closes = m_pipeline.front().closes;
+  m_pipeline.PopWritten();
+  if (closes) {
+    Linger();
     return;
   }
-  m_call = {};
-  error_code ignored;
-  m_stream.socket().cancel(ignored);
-  const bool close = !m_keep_alive || m_hooks.leaving();
-  if (auto* http_reply = std::get_if<HttpReply>(&reply.result)) {
-    m_metrics.Add(Counter::kCallsAnswered);
-    Write(BuildReply(std::move(*http_reply), reply.call_id), close);
-  } else {
-    const auto reason = std::get<RefusalReason>(reply.result);
-    m_metrics.AddRefusal(reason);
-    Write(BuildRefusal(reason, reply.call_id), close);
-  }
-}
-
-void CallerConnection::RefuseReadError(const error_code& error) {
-  if (m_timed_out) {
-    Refuse(RefusalReason::kRequestTimeout);
-  } else if (error == http::error::header_limit ||
-             error == http::error::buffer_overflow) {
-    Refuse(RefusalReason::kHeadTooLarge);
-  } else if (IsBodyTooLarge(error)) {
-    Refuse(RefusalReason::kBodyTooLarge);
-  } else if (error == http::error::end_of_stream ||
-             error == http::error::partial_message ||
-             error.category() == boost::asio::error::get_system_category() ||
-             error.category() == boost::asio::error::get_misc_category()) {
-    Close();
-  } else {
-    Refuse(RefusalReason::kBadRequest);
+  StartCalls();
+  WriteNext();
+  SendContinue();
+  ReadOn();
+  if (m_stopping) {
+    Stop();
   }
 }
 
-void CallerConnection::Refuse(RefusalReason reason) {
-  m_metrics.AddRefusal(reason);
-  Log(LogLevel::kDebug, LogEvent::kCallerRefused,
-      {{"reason", InfoOf(reason).name}});
-  Write(BuildRefusal(reason, ""), true);
-}
-
-void CallerConnection::RefuseAndClose(RefusalReason reason) {
-  Refuse(reason);
-}
-
-void CallerConnection::Write(Response response, bool close) {
-  m_phase = Phase::kWriting;
-  m_timer.cancel();
-  if (close) {
-    response.set(http::field::connection, "close");
-  } else if (m_http_version == 10) {
-    response.set(http::field::connection, "keep-alive");
+void CallerConnection::SendContinue() {
+  // An interim reply must not come before the replies to earlier requests.
+  if (!m_awaits_continue || m_is_writing || m_pipeline.size() > 1) {
+    return;
   }
-  m_response.emplace(std::move(response));
-  m_stream.expires_after(m_limits.write_timeout);
-  http::async_write(
-      m_stream, *m_response,
-      [self = shared_from_this(), close](const error_code& error, std::size_t) {
-        self->OnWritten(error, close);
+  static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  ArmWriteTimer();
+  boost::asio::async_write(
+      m_socket, boost::asio::buffer(kContinue),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnContinueSent(error);
       });
 }
 
-void CallerConnection::OnWritten(const error_code& error, bool close) {
-  m_response.reset();
-  m_memory.Reset();
+void CallerConnection::OnContinueSent(const error_code& error) {
+  m_is_writing = false;
+  m_write_timer.cancel();
+  m_awaits_continue = false;
   if (m_phase == Phase::kClosed) {
     return;
   }
@@ -375,47 +223,17 @@
     Close();
     return;
   }
-  if (close) {
-    error_code ignored;
-    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
-                               ignored);
-    m_phase = Phase::kLingering;
-    DiscardInput();
-    return;
-  }
-  WaitForRequest();
-  if (m_stopping) {
-    Stop();
-  }
-}
-
-void CallerConnection::DiscardInput() {
-  // Lingering close: closing a socket with unread input makes the kernel send
-  // RST, and the caller could lose the reply. Input is read and discarded until
-  // the caller closes, nothing arrives for kLingerTime, or the largest body
-  // size is exceeded.
-  m_buffer.clear();
-  m_stream.expires_after(kLingerTime);
-  m_stream.async_read_some(
-      m_buffer.prepare(kReadChunkBytes),
-      [self = shared_from_this()](const error_code& error, std::size_t size) {
-        self->m_discarded_bytes += size;
-        if (error || self->m_phase == Phase::kClosed ||
-            self->m_discarded_bytes > self->m_limits.max_body_bytes) {
-          self->Close();
-          return;
-        }
-        self->DiscardInput();
-      });
+  WriteNext();
+  ReadOn();
 }
 
 void CallerConnection::Stop() {
   m_stopping = true;
-  if (m_phase != Phase::kIdle) {
+  if (!idle()) {
     return;
   }
   error_code error;
-  const bool has_input = m_stream.socket().available(error) > 0;
+  const bool has_input = m_socket.available(error) > 0;
   if (!error && has_input) {
     return;  // The pending wait reads the request.
   }
@@ -426,10 +244,28 @@
   }
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (m_phase == Phase::kIdle) {
+void CallerConnection::OnCallerLeft() {
+  if (!m_response) {
     Close();
+    return;
   }
+  // A reply that is being written is still delivered: the caller may have
+  // closed its side only.
+  m_caller_left = true;
+  m_timer.cancel();
+  m_parser.reset();
+  m_awaits_continue = false;
+  CancelCalls();
+}
+
+void CallerConnection::CancelCalls() {
+  const auto hooks = m_pipeline.Cancel();
+  if (hooks.empty()) {
+    return;
+  }
+  m_metrics.Add(Counter::kCallersGone);
+  m_metrics.Add(Counter::kCallsCancelled, hooks.size());
+  std::ranges::for_each(hooks, [](const auto& hook) { hook(); });
 }
 
 void CallerConnection::Close() {
@@ -439,8 +275,11 @@
   m_phase = Phase::kClosed;
   const auto self_guard = shared_from_this();
   m_timer.cancel();
-  m_stream.close();
+  m_write_timer.cancel();
+  error_code ignored;
+  m_socket.close(ignored);
   m_hooks.on_closed(this);
+  CancelCalls();
 }
 
 }  // namespace yuccamast
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -3,18 +3,16 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
-#include <vector>
 
+#include "http/caller_request.h"
 #include "http/dialect.h"
 #include "http/memory_budget.h"
-#include "link/messages.h"
+#include "http/pipeline.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/outcome/refusal.h"
@@ -29,8 +27,14 @@
 /// that the loss of a peer or an upstream never leaves a caller with a
 /// truncated reply.
 ///
-/// Requests are handled one at a time. Pipelined requests stay in the receive
-/// buffer and are answered in order.
+/// Pipelined requests are read on while earlier ones are unanswered, up to
+/// bounds in number and bytes; beyond these the connection is not read. Their
+/// calls run at once as far as `Pipeline` allows, and the replies are written
+/// in the order of the requests.
+///
+/// A caller that disconnects cancels all its calls. While input is left unread,
+/// the kernel does not report the disconnect as readable, so the socket is
+/// polled for it.
 ///
 /// Parsing is strict, as a protection against request smuggling. A request is
 /// refused and the connection closed if the request has several `Host` or
@@ -40,28 +44,16 @@
 /// other than `chunked` are refused as unsupported, and the connection is
 /// closed too.
 ///
-/// States (`Phase`): kIdle (waiting for the first byte of a request), kReading
-/// (head and body), kHandling (the node handles the call), kWriting, then kIdle
-/// again, or kLingering and kClosed. In kLingering the write side is shut down
-/// and input is discarded, see `DiscardInput`.
+/// States (`Phase`): kOpen, kLingering and kClosed. In kLingering the write
+/// side is shut down and input is discarded, see `DiscardInput`. Each request
+/// has a step of its own, see `PendingRequest`.
+///
+/// The input is read by waiting for readability and reading without blocking,
+/// so that a timeout of the reading need not cancel the operations of the
+/// socket, of which a write may be one.
 
 namespace yuccamast {
 
-/// A complete request of a caller.
-struct CallerRequest {
-  std::string method;
-  std::string target;
-  std::vector<HttpField> fields;
-  std::string body;
-  bool from_own_vm = false;  ///< The connection comes from the node's own VM.
-};
-
-/// Answer to a caller: the upstream's reply or a refusal.
-struct CallerReply {
-  std::string call_id;  ///< Value of `Yuccamast-Call-Id`; may be empty.
-  std::variant<HttpReply, RefusalReason> result;
-};
-
 /// Limits of the callers' connections.
 struct CallerLimits {
   std::size_t max_head_bytes = 16U << 10U;
@@ -80,26 +72,27 @@
   /// Open connections of all entry threads; enforced by the owner, which
   /// refuses further ones with `RefuseAndClose`.
   std::size_t max_connections = 12'000;
+  /// Unanswered requests of one connection that are read.
+  std::size_t max_pipelined = 32;
+  /// Bytes of these and of replies that wait for their turn; while more are
+  /// held, no further request is read.
+  std::size_t max_pipelined_bytes = 4U << 20U;
 };
 
 class CallerConnection;
 
-/// Lets a connection tell the node that the caller disconnected during its
-/// call.
-struct CallHandle {
-  /// Called at most once, when the caller closes or resets its connection.
-  std::function<void()> on_caller_disconnect;
-};
-
 /// Callbacks into the node, called on the connection's thread. They must stay
 /// valid until the connection is destroyed.
 struct CallerHooks {
-  /// Handles a call. `done` must be called exactly once, on the connection's
-  /// thread, before or after `handle_call` returns; after
-  /// `on_caller_disconnect` it need not be called and has no effect.
+  /// Handles a call. `done` must be called on the connection's thread, before
+  /// or after `handle_call` returns. Only its first call has an effect, and
+  /// none after `on_caller_disconnect`, when it need not be called.
   std::function<CallHandle(CallerRequest,
                            std::function<void(CallerReply)> done)>
       handle_call;
+  /// Whether a request may run beside unanswered ones before it: whether it is
+  /// idempotent and has no body. Without the hook, none may.
+  std::function<bool(const CallerRequest&)> may_overlap;
   /// Whether the node is leaving; replies then carry `Connection: close`.
   std::function<bool()> leaving;
   /// Called once, when the connection was closed. The owner may release it.
@@ -135,7 +128,9 @@
   void RefuseAndClose(RefusalReason reason);
 
   /// Whether the connection waits for a request.
-  bool idle() const { return m_phase == Phase::kIdle; }
+  bool idle() const { return m_phase == Phase::kOpen && m_pipeline.empty(); }
+  /// The requests that are not answered yet.
+  const Pipeline& pipeline() const { return m_pipeline; }
 
  private:
   using Parser =
@@ -143,61 +138,81 @@
   using Response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
-  enum class Phase : std::uint8_t {
-    kIdle,
-    kReading,
-    kHandling,
-    kWriting,
-    kLingering,
-    kClosed
-  };
-
-  void WaitForRequest();
-  void ArmIdleTimer(Duration limit);
-  void CloseIfIdle();
-  void OnRequestReadable(const boost::system::error_code& error);
+  enum class Phase : std::uint8_t { kOpen, kLingering, kClosed };
+
+  // Reading, in caller_input.cpp.
+
+  /// Whether input is read now; otherwise it stays in the kernel.
+  bool MayRead() const;
+  /// Handles the buffered input as far as it goes, then waits for more.
+  void ReadOn();
+  void WaitForInput();
+  void WaitForReadable();
+  void OnReadable(const boost::system::error_code& error);
+  void Receive();
+  /// Returns false if more input is needed.
+  bool ParseSome();
+  void BeginRequest();
+  void OnHead();
+  void OnRequest();
+  std::optional<RefusalReason> ValidateHead() const;
   void ArmReadTimer(Duration limit);
-  void DiscardInput();
-  void ReadHead();
-  void OnHead(const boost::system::error_code& error);
-  void ReadBody();
-  void OnBody(const boost::system::error_code& error);
-  void SendContinue();
-  void HandleCall();
+  /// Looks for a disconnect without reading.
   void WatchForDisconnect();
-  void OnReadableDuringCall(const boost::system::error_code& error);
-  void OnReply(CallerReply reply);
-  void Write(Response response, bool close);
-  void OnWritten(const boost::system::error_code& error, bool close);
+  void ArmWatchTimer();
   void RefuseReadError(const boost::system::error_code& error);
+  void DiscardInput();
+
+  // Calls and replies.
+
+  void ArmIdleTimer(Duration limit);
+  /// Whether `m_timer` ran out and was not set anew in the meantime.
+  bool IsTimerDue(const boost::system::error_code& error) const;
+  void StartCalls();
+  void StartCall(PendingRequest& request);
+  void OnReply(std::uint64_t id, CallerReply reply);
+  void WriteNext();
+  void ArmWriteTimer();
+  void OnWritten(const boost::system::error_code& error);
+  void SendContinue();
+  void OnContinueSent(const boost::system::error_code& error);
+  /// Refuses the request that is being read.
   void Refuse(RefusalReason reason);
-  Response BuildRefusal(RefusalReason reason, const std::string& call_id);
-  Response BuildReply(HttpReply reply, const std::string& call_id);
-  std::optional<RefusalReason> ValidateHead() const;
+  void Linger();
+  void OnCallerLeft();
+  void CancelCalls();
   void Close();
 
-  boost::beast::tcp_stream m_stream;
-  boost::asio::steady_timer m_timer;
+  // In caller_reply.cpp.
+
+  Response BuildRefusal(RefusalReason reason,
+                        const std::string& call_id,
+                        const PendingRequest& request);
+  Response BuildReply(HttpReply reply,
+                      const std::string& call_id,
+                      const PendingRequest& request);
+
+  boost::asio::ip::tcp::socket m_socket;
+  boost::asio::steady_timer m_timer;  ///< Of the reading, and while idle.
+  boost::asio::steady_timer m_write_timer;
   const Dialect& m_dialect;
-  CallerLimits m_limits;  ///< Read when the wait for this request began.
+  CallerLimits m_limits;  ///< Read when the last request began.
   Metrics& m_metrics;
   const CallerHooks& m_hooks;
-  MemoryReservation m_memory;
+  Pipeline m_pipeline;
   boost::beast::flat_buffer m_buffer;
-  std::optional<Parser> m_parser;
-  std::optional<Response> m_response;
-  CallHandle m_call;
-  Phase m_phase = Phase::kIdle;
-  std::size_t m_discarded_bytes = 0;        ///< Read in kLingering.
-  std::vector<HttpField> m_request_fields;  ///< Of the head.
-  std::string m_request_id;  ///< From `Dialect::request_id_field`, or empty.
-  bool m_keep_alive = true;
+  std::optional<Parser> m_parser;      ///< Of the request that is being read.
+  std::optional<Response> m_response;  ///< While it is written.
+  Phase m_phase = Phase::kOpen;
+  std::size_t m_discarded_bytes = 0;  ///< Read in kLingering.
+  bool m_is_waiting = false;          ///< A wait for readability is pending.
+  bool m_is_writing = false;          ///< A reply or an interim one.
+  /// The request being read expects an interim reply, which has not been sent.
+  bool m_awaits_continue = false;
+  bool m_caller_left = false;  ///< The input has ended; a reply is written.
   bool m_stopping = false;     ///< `Stop` was called.
   bool m_has_request = false;  ///< At least one request has begun to arrive.
   bool m_from_own_vm = false;
-  bool m_timed_out = false;  ///< The read timer cancelled the read.
-  bool m_is_head_method = false;
-  unsigned m_http_version = 11;  ///< As in Beast: 10 or 11.
 };
 
 }  // namespace yuccamast
--- a/src/libyuccamast/http/caller_reply.cpp
+++ b/src/libyuccamast/http/caller_reply.cpp
@@ -21,9 +21,10 @@
 
 CallerConnection::Response CallerConnection::BuildReply(
     HttpReply reply,
-    const std::string& call_id) {
+    const std::string& call_id,
+    const PendingRequest& request) {
   Response response;
-  response.version(m_http_version);
+  response.version(request.http_version);
   response.result(reply.status);
   for (const HttpField& field : EndToEndFields(reply.fields)) {
     response.insert(field.name, field.value);
@@ -31,7 +32,7 @@
   if (m_dialect.uses_yuccamast_fields) {
     response.set(std::string(kCallIdField), call_id);
   }
-  if (m_is_head_method) {
+  if (request.is_head_method) {
     const std::string* length = FindField(reply.fields, "content-length");
     if (length != nullptr) {
       response.set(http::field::content_length, *length);
@@ -46,10 +47,11 @@
 
 CallerConnection::Response CallerConnection::BuildRefusal(
     RefusalReason reason,
-    const std::string& call_id) {
+    const std::string& call_id,
+    const PendingRequest& request) {
   const RefusalInfo& info = InfoOf(reason);
   Response response;
-  response.version(m_http_version);
+  response.version(request.http_version);
   response.result(info.status);
   response.set(std::string(kOutcomeField),
                std::string(NameOf(info.run_outcome)));
@@ -57,8 +59,8 @@
   if (!call_id.empty()) {
     response.set(std::string(kCallIdField), call_id);
   }
-  if (!m_request_id.empty()) {
-    response.set(m_dialect.request_id_field, m_request_id);
+  if (!request.request_id.empty()) {
+    response.set(m_dialect.request_id_field, request.request_id);
   }
   JsonValue::Object body{{"outcome", NameOf(info.run_outcome)},
                          {"reason", info.name},
@@ -75,7 +77,7 @@
   response.set(http::field::content_type, "application/json");
   const std::string text = WriteJson(body) + "\n";
   response.set(http::field::content_length, std::to_string(text.size()));
-  if (!m_is_head_method) {
+  if (!request.is_head_method) {
     response.body() = text;
   }
   return response;
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -26,6 +26,8 @@
     {"calls_retried", "Idempotent calls offered again after an unknown run."},
     {"retries_denied", "Retries not made for lack of budget."},
     {"callers_gone", "Callers that closed before their reply."},
+    {"calls_cancelled", "Calls cancelled since their caller closed."},
+    {"requests_pipelined", "Requests read behind an unanswered one."},
     {"caller_connections", "Connections accepted from callers."},
     {"caller_connections_refused", "Connections refused at the limit."},
     {"offers_received", "Offers read whole at the exit."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -32,6 +32,8 @@
   kCallsRetried,
   kRetriesDenied,
   kCallersGone,
+  kCallsCancelled,
+  kRequestsPipelined,
   kCallerConnections,
   kCallerConnectionsRefused,
   kOffersReceived,
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -48,7 +48,7 @@
       m_request(std::move(request)),
       m_done(std::move(done)),
       m_id(CallIdOf(context, m_request)),
-      m_received_at(Clock::now()),
+      m_received_at(m_request.received_at),
       m_timer(context.io) {}
 
 std::string EntryCall::CallIdOf(EntryContext& context,
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -115,6 +115,15 @@
 
   const std::string& id() const { return m_id; }
 
+  /// Whether pipelined requests may run beside this call, see
+  /// `CallerHooks::may_overlap`. False until the call is matched.
+  bool may_overlap() const {
+    return m_rule != nullptr && MayOverlap(*m_rule, m_request);
+  }
+  /// The same of a request that has not been started. Thread-safe.
+  static bool MayOverlap(const Configuration& config,
+                         const CallerRequest& request);
+
   /// State of the call for the dump.
   JsonValue ToJson(TimePoint now) const;
 
@@ -139,8 +148,13 @@
   void MatchAndOffer();
   /// The rule for the request, or null if there is none. If that is because the
   /// path is ambiguous, sets `if_none`; otherwise leaves it as it is.
-  const Rule* FindMatchingRule(std::string_view path,
-                               RefusalReason& if_none) const;
+  static const Rule* FindMatchingRule(const Configuration& config,
+                                      const CallerRequest& request,
+                                      std::string_view path,
+                                      RefusalReason& if_none);
+  static bool MayOverlap(const Rule& rule, const CallerRequest& request) {
+    return rule.idempotent && request.body.empty();
+  }
   /// Sets `m_service`, by the rule's split if it has one. Returns false if the
   /// view does not have the service.
   bool ChooseService();
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -62,10 +62,11 @@
   return std::nullopt;
 }
 
-const Rule* EntryCall::FindMatchingRule(std::string_view path,
-                                        RefusalReason& if_none) const {
-  const Configuration& config = *m_view->config;
-  const std::string* host = FindField(m_request.fields, "host");
+const Rule* EntryCall::FindMatchingRule(const Configuration& config,
+                                        const CallerRequest& request,
+                                        std::string_view path,
+                                        RefusalReason& if_none) {
+  const std::string* host = FindField(request.fields, "host");
   if (host != nullptr) {
     if (const Rule* rule = FindPrefixRule(config, *host, path)) {
       return rule;
@@ -75,7 +76,16 @@
     if_none = RefusalReason::kAmbiguousPath;
     return nullptr;
   }
-  return FindRule(config, m_request.method, path);
+  return FindRule(config, request.method, path);
+}
+
+bool EntryCall::MayOverlap(const Configuration& config,
+                           const CallerRequest& request) {
+  const std::string_view target = request.target;
+  RefusalReason ignored = RefusalReason::kNoRule;
+  const Rule* rule = FindMatchingRule(
+      config, request, target.substr(0, target.find('?')), ignored);
+  return rule != nullptr && MayOverlap(*rule, request);
 }
 
 bool EntryCall::ChooseService() {
@@ -111,7 +121,7 @@
     return RefusalReason::kNoConfiguration;
   }
   RefusalReason if_none = RefusalReason::kNoRule;
-  m_rule = FindMatchingRule(path, if_none);
+  m_rule = FindMatchingRule(*m_view->config, m_request, path, if_none);
   if (m_rule == nullptr) {
     return if_none;
   }
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -86,6 +86,11 @@
                                std::function<void(CallerReply)> done) {
     return HandleCall(std::move(request), std::move(done));
   };
+  m_hooks.may_overlap = [this](const CallerRequest& request) {
+    const auto view = m_shared.view_store.Load();
+    return view->config != nullptr &&
+           EntryCall::MayOverlap(*view->config, request);
+  };
   m_hooks.leaving = [this] {
     return m_shared.leaving.load(std::memory_order_relaxed);
   };
@@ -210,10 +215,11 @@
   m_calls[call.get()] = call;
   call->Begin();
   return {[weak = std::weak_ptr<EntryCall>(call)] {
-    if (const auto alive = weak.lock()) {
-      alive->OnCallerDisconnect();
-    }
-  }};
+            if (const auto alive = weak.lock()) {
+              alive->OnCallerDisconnect();
+            }
+          },
+          call->may_overlap()};
 }
 
 std::shared_ptr<PeerLink> EntryWorker::FindOrAddLink(
@@ -318,7 +324,15 @@
                               item.second->round_trip())
                               .count()}}};
       });
+  std::size_t pending = 0;
+  std::size_t deepest = 0;
+  std::ranges::for_each(m_callers, [&](const auto& item) {
+    pending += item.first->pipeline().size();
+    deepest = std::max(deepest, item.first->pipeline().deepest());
+  });
   return JsonValue::Object{{"callers", std::uint64_t{m_callers.size()}},
+                           {"pending_requests", std::uint64_t{pending}},
+                           {"deepest_pipeline", std::uint64_t{deepest}},
                            {"calls", std::move(calls)},
                            {"links", std::move(links)}};
 }
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -131,6 +131,11 @@
   limits.max_connections = static_cast<std::size_t>(
       reader.Int("max_connections", kCountRange,
                  static_cast<std::int64_t>(limits.max_connections)));
+  limits.max_pipelined = static_cast<std::size_t>(
+      reader.Int("max_pipelined", kCountRange,
+                 static_cast<std::int64_t>(limits.max_pipelined)));
+  limits.max_pipelined_bytes =
+      ReadSize(reader, "max_pipelined_bytes", limits.max_pipelined_bytes);
 }
 
 void ReadLink(ObjectReader& reader, LinkOptions& link) {
