Read what a cold upstream bears and how long it stays cold

Cause: the rate that a cold upstream bears stands in the operator's configuration and the rest of its cold time in its health replies; neither was read, and "cold" was only a higher cost of the choice.

Change: `cold_starts_per_s` and `cold_start_ms` of a service, and a hook of the dialect for the cold time of a health reply. Bad values are typed errors; a reply without the field says "warm" only if it is a success, since others may come from something in front of the upstream. The times of two replies can't be mixed up any more when a hook sends the next probe.

--- a/include/yuccamast/config/configuration.h
+++ b/include/yuccamast/config/configuration.h
@@ -77,6 +77,11 @@
   /// given. Only its range is checked, and it is printed; nodes do not enforce
   /// it.
   std::uint32_t max_connections = 0;
+  /// Calls per second that a cold upstream can bear; 0: no limit. See
+  /// admission/cold_start_limiter.h.
+  double cold_starts_per_s = 0;
+  /// Time for which an upstream stays cold after its start; 0: not given.
+  std::chrono::milliseconds cold_start{0};
 };
 
 /// One upstream: a server program on a VM.
--- a/include/yuccamast/json_value.h
+++ b/include/yuccamast/json_value.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -78,6 +79,15 @@
   const Object* AsObject() const { return std::get_if<Object>(&m_value); }
   Object* AsObject() { return std::get_if<Object>(&m_value); }
 
+  /// The number, whole or not, or nothing if it isn't one.
+  std::optional<double> AsNumber() const {
+    const std::int64_t* whole = AsInt();
+    const double* real = AsDouble();
+    return whole != nullptr  ? std::optional(static_cast<double>(*whole))
+           : real != nullptr ? std::optional(*real)
+                             : std::nullopt;
+  }
+
   /// The value of the member `key`; null if there is none or if this is not an
   /// object.
   const JsonValue* Find(std::string_view key) const;
--- a/src/libyuccamast/config/describe.cpp
+++ b/src/libyuccamast/config/describe.cpp
@@ -13,7 +13,9 @@
       {"queue_length", service.queue_length},
       {"retry_share", service.retry_share},
       {"health_path", service.health_path},
-      {"max_connections", service.max_connections}};
+      {"max_connections", service.max_connections},
+      {"cold_starts_per_s", service.cold_starts_per_s},
+      {"cold_start_ms", std::int64_t{service.cold_start.count()}}};
 }
 
 JsonValue Describe(const Upstream& upstream) {
--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -170,6 +170,8 @@
 constexpr IntRange kMaxUpstreamsRange{1, 100};
 constexpr IntRange kSplitWeightRange{0, 1'000'000};
 constexpr IntRange kMaxConnectionsRange{0, 1'000'000};
+constexpr IntRange kColdStartRangeMs{0, 600'000};
+constexpr double kMaxColdStartsPerS = 1e6;
 constexpr IntRange kBytesRange{64, 1LL << 40};
 
 // Each function below reads one entry. An optional field that is absent gets
@@ -189,6 +191,9 @@
   service.health_path = reader.String("health_path", "");
   service.max_connections = static_cast<std::uint32_t>(
       reader.Int("max_connections", kMaxConnectionsRange, 0));
+  service.cold_starts_per_s =
+      reader.Double("cold_starts_per_s", 0.0, kMaxColdStartsPerS, 0.0);
+  service.cold_start = reader.Millis("cold_start_ms", kColdStartRangeMs, 0);
   return service;
 }
 
--- a/src/libyuccamast/config/merge_test.cpp
+++ b/src/libyuccamast/config/merge_test.cpp
@@ -57,6 +57,28 @@
   cr_expect_eq(config.rules.size(), 1U);
 }
 
+// Guards against a limit of cold upstreams that is read wrongly and so breaks
+// them, or stops them altogether.
+Test(merge, limits_of_cold_upstreams_are_checked) {
+  const Configuration config = Merge(
+      {{"10-base.json", kBase}, {"90-fix.json", R"({"services": {"bookings": {
+                 "cold_starts_per_s": 12.5, "cold_start_ms": 3000}}})"}});
+  cr_expect_eq(config.services.at("bookings").cold_starts_per_s, 12.5);
+  cr_expect_eq(config.services.at("bookings").cold_start.count(), 3000);
+  cr_expect_eq(config.services.at("ledger").cold_starts_per_s, 0);
+  const auto expect_error = [](const std::string& field,
+                               const std::string& value, ConfigFault fault) {
+    ExpectError(
+        R"({"services": {"bookings": {")" + field + "\": " + value + "}}}",
+        "services.bookings." + field, fault);
+  };
+  expect_error("cold_starts_per_s", "-1", ConfigFault::kOutOfRange);
+  expect_error("cold_starts_per_s", "1e300", ConfigFault::kOutOfRange);
+  expect_error("cold_starts_per_s", "\"19\"", ConfigFault::kWrongType);
+  expect_error("cold_start_ms", "-1", ConfigFault::kOutOfRange);
+  expect_error("cold_start_ms", "\"3s\"", ConfigFault::kWrongType);
+}
+
 Test(merge, null_restores_the_default_of_a_field) {
   const Configuration config = Merge(
       {{"10-base.json", kBase},
--- a/src/libyuccamast/http/dialect.h
+++ b/src/libyuccamast/http/dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -9,6 +10,7 @@
 #include "link/messages.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/outcome/refusal.h"
+#include "yuccamast/result.h"
 
 /// \file dialect.h
 /// The HTTP conventions that a node shares with callers and upstreams.
@@ -49,6 +51,35 @@
 /// Limit on requests per second that a reply names; nothing: none.
 using RateLimit = std::optional<double>;
 
+/// Why a stated cold time is not used.
+enum class ColdTimeFault : std::uint8_t {
+  kMalformed,   ///< Not a decimal number of milliseconds.
+  kOutOfRange,  ///< Longer than `kMaxColdTime`.
+};
+
+/// Name of a fault in logs, such as `malformed`.
+std::string_view NameOf(ColdTimeFault fault);
+
+/// A stated cold time that is not used, with its text.
+struct ColdTimeError {
+  ColdTimeFault fault = ColdTimeFault::kMalformed;
+  std::string text;
+};
+
+/// Longest cold time that is believed.
+inline constexpr std::chrono::milliseconds kMaxColdTime =
+    std::chrono::minutes(10);
+
+/// How long the upstream stays cold by a reply; zero: it is warm. Nothing: the
+/// reply doesn't say.
+using ColdTime = std::optional<std::chrono::milliseconds>;
+
+/// Parses the cold time that the health reply states in `field`. A successful
+/// reply without the field states that the upstream is warm; any other reply
+/// without it may come from something in front of the upstream. Thread-safe.
+Result<ColdTime, ColdTimeError> ParseColdTime(const HttpReply& reply,
+                                              std::string_view field);
+
 /// Field names are sent as written here and compared case-insensitively.
 /// Immutable once the node runs; the hooks must be thread-safe. All hooks but
 /// `parent_call_id` are required.
@@ -85,6 +116,9 @@
   /// The rate of requests, from all nodes together, to which the upstream
   /// limits itself by this reply; nothing if it names none or a malformed one.
   std::function<RateLimit(const HttpReply&)> parse_rate_limit;
+  /// How long the upstream stays cold by a reply of the health page.
+  std::function<Result<ColdTime, ColdTimeError>(const HttpReply&)>
+      parse_cold_time;
   /// Parses a reply of the health page.
   std::function<HealthStatus(const HttpReply&)> parse_health;
   /// Whether a reply indicates that its upstream is leaving.
--- a/src/libyuccamast/http/fields.h
+++ b/src/libyuccamast/http/fields.h
@@ -29,6 +29,7 @@
 inline constexpr std::string_view kLeavingField = "Yuccamast-Upstream-Leaving";
 inline constexpr std::string_view kRateLimitField =
     "Yuccamast-Upstream-Rate-Limit";
+inline constexpr std::string_view kColdTimeField = "Yuccamast-Upstream-Cold-Ms";
 
 /// Case-insensitive ASCII comparison.
 bool EqualIgnoreCase(std::string_view a, std::string_view b);
--- a/src/libyuccamast/http/health_checker.cpp
+++ b/src/libyuccamast/http/health_checker.cpp
@@ -214,6 +214,7 @@
     return;
   }
   const HttpReply reply = std::move(connection->reply);
+  const TimePoint sent_at = m_probe_sent_at;  // A hook may send a new probe.
   if (!connection->parser->keep_alive() || connection->buffer.size() > 0) {
     connection->stream.close();
     m_connection.reset();
@@ -222,13 +223,16 @@
   }
   // A health reply may be older than the reply that said so.
   SetDraining(m_dialect.indicates_leaving(reply) ||
-              m_probe_sent_at < m_leaving_reply_at);
+              sent_at < m_leaving_reply_at);
   if (m_hooks.on_health) {
     m_hooks.on_health(m_dialect.parse_health(reply),
                       m_dialect.parse_load(reply));
   }
   if (m_hooks.on_rate_limit) {
-    m_hooks.on_rate_limit(m_dialect.parse_rate_limit(reply), m_probe_sent_at);
+    m_hooks.on_rate_limit(m_dialect.parse_rate_limit(reply), sent_at);
+  }
+  if (m_hooks.on_cold_time) {
+    m_hooks.on_cold_time(m_dialect.parse_cold_time(reply), sent_at);
   }
 }
 
--- a/src/libyuccamast/http/health_checker.h
+++ b/src/libyuccamast/http/health_checker.h
@@ -39,6 +39,10 @@
   /// The rate limit that the same reply names, and when its probe was sent.
   /// Called after `on_health`. May be empty.
   std::function<void(const RateLimit&, TimePoint sent_at)> on_rate_limit;
+  /// What the same reply states of the cold time, and when its probe was sent.
+  /// Called after `on_health`. May be empty.
+  std::function<void(const Result<ColdTime, ColdTimeError>&, TimePoint sent_at)>
+      on_cold_time;
   /// Whether the next periodic probe may be skipped, because its result is
   /// already known by other means. May be empty: never skip.
   std::function<bool()> skip_probe;
