Limit the starts at an upstream that may be cold

Cause: while cold, an upstream bears a few calls a second and crashes well above, and it may become cold at any moment.

Change: `ColdStartLimiter`, a sliding-window log of the starts that are not known to have reached a warm upstream. Only a health reply "warm" to a later request, or age, removes a start; so the bound holds in each second although the news that the upstream is cold come late, and after a restart of the exit. A probe is sent when half of the log is used, so a warm upstream is not held back. A start has its place in the window when its request is written. The rate in force is the lowest of the named, the cold and the returning one; `ReturnRamp` raises it step by step afterwards. Reports name the limit; new reason `cold_limit`; events, counters, dump. Off without `cold_starts_per_s`.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -7,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "yuccamast/admission/cold_start_limiter.h"
 #include "yuccamast/admission/rate_limiter.h"
 #include "yuccamast/admission/slowdown_estimator.h"
 #include "yuccamast/admission/vm_speed_tracker.h"
@@ -54,6 +56,10 @@
 /// as tokens come in, and one whose turn would come too late is refused at
 /// once.
 ///
+/// While the upstream may be cold, `ColdStartLimiter` limits the starts in the
+/// same way, and calls that find no room for that reason are refused with
+/// `kColdLimit`.
+///
 /// The class has no timers and does no I/O; the owner calls `Expire` and
 /// `StartNext`. A method costs at most O(q log q + s log s) for q queued calls
 /// and s slots.
@@ -119,7 +125,8 @@
 
   /// Starts, queues or refuses a call. Precondition: no held call has the
   /// ticket. Refuses with `kDeadlineNotRun` if the deadline has passed, else
-  /// with `kQueueFull` if the deadline can't be met or there is no room.
+  /// with `kQueueFull` if the deadline can't be met or there is no room, or
+  /// with `kColdLimit` if that is due to a cold upstream.
   AdmissionDecision Offer(const AdmissionRequest& request, TimePoint now);
 
   /// Frees the slot of a call; no effect if the call holds none. `service` is
@@ -127,6 +134,9 @@
   /// run must not count for the mean (for example a failed one).
   void Release(CallTicket ticket, std::optional<Duration> service);
 
+  /// The request of a call that holds a slot is about to be written.
+  void OnSent(CallTicket ticket, TimePoint now);
+
   /// Removes a queued call. Returns false if it is not queued.
   bool Remove(CallTicket ticket);
 
@@ -154,6 +164,16 @@
   }
   /// The limit in starts per second; 0: none.
   double rate_limit() const { return m_rate_limiter.rate(); }
+  /// Starts that the rate limit and the limit of a cold upstream permit now.
+  std::size_t StartsLeft(TimePoint now) const {
+    return std::min(m_rate_limiter.StartsLeft(now),
+                    m_cold_starts.StartsLeft(now));
+  }
+
+  /// The limit of starts while the upstream may be cold. The owner passes it
+  /// what the health page says; starts are counted by this class.
+  ColdStartLimiter& cold_starts() { return m_cold_starts; }
+  const ColdStartLimiter& cold_starts() const { return m_cold_starts; }
 
   /// Applies to later decisions; running and queued calls are kept even if
   /// they exceed the new limits.
@@ -198,6 +218,7 @@
     TimePoint since;
     /// At the VM's speed when the call started; 0: unknown.
     Duration expected_service{};
+    bool sent = false;  ///< See `OnSent`.
   };
   /// Sort key for the order in the file comment; smaller keys start first.
   struct QueueKey {
@@ -210,13 +231,18 @@
   };
   using Queue = std::map<QueueKey, QueuedCall>;
 
-  /// Whether a slot is free for a call of this weight class and the rate limit
-  /// permits a start.
+  /// Whether a slot is free for a call of this weight class and the limits on
+  /// starts permit one.
   bool HasSlot(WeightClass weight, TimePoint now) const;
   /// Whether more slots are free than `late_reserved_slots` (as capped).
   bool HasSlotForLate() const;
   void OccupySlot(const AdmissionRequest& request, TimePoint now);
   static QueueKey MakeQueueKey(const AdmissionRequest& request);
+  /// Time until the limits on starts permit one, with `ahead` before it.
+  Duration StartWait(std::size_t ahead, TimePoint now) const {
+    return std::max(m_rate_limiter.WaitFor(ahead, now),
+                    m_cold_starts.WaitFor(ahead, now));
+  }
   /// Estimated time until a slot is free, and the rate limit permits the start,
   /// for a call with `ahead` calls before it in the queue.
   Duration EstimateWait(std::size_t ahead, TimePoint now) const;
@@ -252,6 +278,7 @@
 
   AdmissionLimits m_limits;
   RateLimiter m_rate_limiter;
+  ColdStartLimiter m_cold_starts;
   VmSpeed m_vm_speed;
   Queue m_queue;
   std::unordered_map<CallTicket, QueueKey> m_key_by_ticket;
--- a/include/yuccamast/admission/rate_limiter.h
+++ b/include/yuccamast/admission/rate_limiter.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <limits>
 #include <optional>
 
 #include "yuccamast/clock.h"
@@ -51,6 +52,12 @@
     }
   }
 
+  /// Starts that are possible now.
+  std::size_t StartsLeft(TimePoint now) const {
+    return IsLimited() ? static_cast<std::size_t>(std::max(0.0, TokensAt(now)))
+                       : std::numeric_limits<std::size_t>::max();
+  }
+
   /// Time until a call may start, with `ahead` calls to start before it. Zero
   /// if it may start now.
   Duration WaitFor(std::size_t ahead, TimePoint now) const {
--- a/include/yuccamast/balance/load_report.h
+++ b/include/yuccamast/balance/load_report.h
@@ -13,7 +13,9 @@
 
 namespace yuccamast {
 
-/// Message format: an array in the order of `MSGPACK_DEFINE`.
+/// Message format: an array in the order of `MSGPACK_DEFINE`. New members are
+/// appended: an older node sends fewer, which leaves the others at their
+/// defaults, and ignores those that it doesn't know.
 struct LoadReport {
   std::uint64_t boot_id = 0;  ///< Identifies the exit's process.
   std::uint32_t running = 0;  ///< Calls that hold a slot.
@@ -32,6 +34,12 @@
   /// the upstream; 100 is normal.
   std::uint32_t slowness = 100;
   std::uint32_t slow_remaining_us = 0;  ///< Expected; 0: no slow period.
+  /// Time for which the upstream is expected to stay cold; 0: it is warm.
+  std::uint32_t cold_remaining_us = 0;
+  /// Starts per 1000 s to which the exit limits itself, since the upstream is
+  /// cold or takes load again; 0: no such limit.
+  std::uint32_t starts_per_ks = 0;
+  std::uint32_t starts_left = 0;  ///< Starts possible now; only with a limit.
 
   MSGPACK_DEFINE(boot_id,
                  running,
@@ -42,7 +50,10 @@
                  leaving,
                  wait_us,
                  slowness,
-                 slow_remaining_us)
+                 slow_remaining_us,
+                 cold_remaining_us,
+                 starts_per_ks,
+                 starts_left)
 };
 
 }  // namespace yuccamast
--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -59,6 +59,7 @@
   kTooManyConnections,
   /// The reply came from another upstream, which did not run the request.
   kMisdirected,
+  kColdLimit,  ///< The upstream is cold, and its limit of starts is used up.
 };
 
 /// Properties of a reason.
@@ -74,7 +75,7 @@
 };
 
 /// Number of enumerators of `RefusalReason`.
-inline constexpr std::size_t kRefusalReasonCount = 29;
+inline constexpr std::size_t kRefusalReasonCount = 30;
 
 /// The table of reasons, indexed by their values.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -21,8 +21,7 @@
 }  // namespace
 
 bool Admission::HasSlot(WeightClass weight, TimePoint now) const {
-  if (running() >= m_limits.slots ||
-      m_rate_limiter.WaitFor(0, now) > Duration::zero()) {
+  if (running() >= m_limits.slots || StartWait(0, now) > Duration::zero()) {
     return false;
   }
   return weight == WeightClass::kShort ||
@@ -37,9 +36,10 @@
 
 void Admission::OccupySlot(const AdmissionRequest& request, TimePoint now) {
   m_rate_limiter.Take(now);
+  m_cold_starts.OnStart();
   m_running[request.ticket] = {
       request.weight, now,
-      m_vm_speed.TimeIfStartedNow(ExpectedService(request))};
+      m_vm_speed.TimeIfStartedNow(ExpectedService(request)), false};
   m_running_long += request.weight == WeightClass::kLong ? 1 : 0;
 }
 
@@ -65,7 +65,7 @@
       });
   left.resize(std::max<std::size_t>(m_limits.slots, left.size()));
   if (left.empty()) {
-    return m_rate_limiter.WaitFor(ahead, now);
+    return StartWait(ahead, now);
   }
   std::ranges::sort(left);
   // The k-th slot to become free takes the k-th waiting call, and each slot is
@@ -73,7 +73,7 @@
   const auto full_rounds = static_cast<std::int64_t>(ahead / left.size());
   return std::max(
       left[ahead % left.size()] + m_mean_short_service * full_rounds,
-      m_rate_limiter.WaitFor(ahead, now));
+      StartWait(ahead, now));
 }
 
 SlowdownEstimator::RunningSample Admission::SampleRunning(TimePoint now) const {
@@ -151,8 +151,12 @@
   const bool late = IsLate(request, wait, now);
   const Duration effective_wait =
       late ? EstimateWait(m_queue.size(), now) : wait;
-  const AdmissionDecision refused{AdmissionVerdict::kRefused,
-                                  RefusalReason::kQueueFull, std::nullopt};
+  const bool cold = running() < m_limits.slots && m_cold_starts.is_cold() &&
+                    m_cold_starts.limit() > 0;
+  const AdmissionDecision refused{
+      AdmissionVerdict::kRefused,
+      cold ? RefusalReason::kColdLimit : RefusalReason::kQueueFull,
+      std::nullopt};
   if (!CanMeetDeadline(request, effective_wait, now) ||
       (late && CountLate(now) >= m_limits.max_queued_late)) {
     return refused;
@@ -196,6 +200,9 @@
   }
   const bool is_short = running->second.weight == WeightClass::kShort;
   m_running_long -= is_short ? 0 : 1;
+  if (!running->second.sent) {
+    m_cold_starts.OnNotSent();
+  }
   m_running.erase(running);
   if (is_short && service) {
     m_mean_short_service =
@@ -206,6 +213,14 @@
   }
 }
 
+void Admission::OnSent(CallTicket ticket, TimePoint now) {
+  const auto running = m_running.find(ticket);
+  if (running != m_running.end() && !running->second.sent) {
+    running->second.sent = true;
+    m_cold_starts.OnSent(now);
+  }
+}
+
 bool Admission::Remove(CallTicket ticket) {
   const auto key = m_key_by_ticket.find(ticket);
   if (key == m_key_by_ticket.end()) {
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -66,6 +66,9 @@
     "document_fetch_failed",
     "document_fetch_moved",
     "upstream_rate_limit",
+    "upstream_cold",
+    "upstream_warm",
+    "upstream_field_refused",
     "internal"};
 
 std::atomic<LogLevel> g_min_level{LogLevel::kWarning};
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -78,6 +78,9 @@
   kDocumentFetchFailed,
   kDocumentFetchMoved,
   kUpstreamRateLimit,
+  kUpstreamCold,
+  kUpstreamWarm,
+  kUpstreamFieldRefused,
   kInternal,
 };
 
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -53,6 +53,9 @@
     {"documents_fetched", "Configurations and VM lists received from peers."},
     {"document_fetch_failures", "Fetches of these that failed."},
     {"document_bytes_sent", "Bytes of these sent to peers."},
+    {"cold_periods", "Times at which the upstream was found to be cold."},
+    {"upstream_fields_refused",
+     "Fields of the upstream's health replies that cannot be understood."},
 }};
 
 // Indexed by Latency.
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -58,6 +58,8 @@
   kDocumentsFetched,
   kDocumentFetchFailures,
   kDocumentBytesSent,
+  kColdPeriods,
+  kUpstreamFieldsRefused,
   kCount,  ///< Number of counters; not a counter.
 };
 
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -76,10 +76,16 @@
     hooks.on_rate_limit = [this](const RateLimit& limit, TimePoint sent_at) {
       OnRateLimit(limit, sent_at, true);
     };
+    hooks.on_cold_time = [this](const auto& cold, TimePoint asked_at) {
+      OnColdTime(cold, asked_at);
+    };
     hooks.skip_probe = [this] {
       const TimePoint now = Clock::now();
-      return m_vm_speed.ReadingAge(now) < kFreshLoadAge ||
-             (m_calls.empty() && now - m_last_health_at < kIdleProbePeriod);
+      const bool recent = now - m_last_health_at < kIdleProbePeriod;
+      // Only the health page tells whether the upstream is cold.
+      return (m_vm_speed.ReadingAge(now) < kFreshLoadAge &&
+              (recent || m_admission.cold_starts().limit() <= 0)) ||
+             (m_calls.empty() && recent);
     };
     m_health_checker = std::make_unique<HealthChecker>(
         io, m_upstream->endpoint(), settings.health_path,
@@ -90,6 +96,7 @@
 
 void ExitCalls::Start() {
   ResetRateLimit();
+  m_admission.cold_starts().OnRestart(Clock::now());
   ArmTick();
   if (m_health_checker != nullptr) {
     m_health_checker->Start();
@@ -252,12 +259,14 @@
       return false;
     }
     call->started_at = Clock::now();
+    m_admission.OnSent(call->ticket, call->started_at);
     if (m_running_call_ids != nullptr) {
       call->running_index = m_running_call_ids->Add(call->offer.call_id);
     }
     call->vm_slowdown = m_vm_speed.At(call->started_at).factor;
     m_metrics.Add(Counter::kRunsStarted);
     m_metrics.Record(Latency::kQueue, call->started_at - call->received_at);
+    UpdateColdStarts(call->started_at);
     return true;
   };
   hooks.reply_head = [call] { call->reply_head_read = true; };
@@ -449,6 +458,7 @@
   CheckPause(now);
   RefreshLimits();
   ExpireUnknownRateLimit(now);
+  UpdateColdStarts(now);
   const VmSpeed vm_speed = m_vm_speed.At(now);
   m_admission.SetVmSpeed(vm_speed);
   if (vm_speed.factor > 1.0 && m_admission.queued() > 0 &&
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -19,6 +19,7 @@
 #include "node/settings.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/admission/admission.h"
+#include "yuccamast/admission/return_ramp.h"
 #include "yuccamast/admission/service_time_estimator.h"
 #include "yuccamast/admission/vm_speed_tracker.h"
 #include "yuccamast/membership/pause_detector.h"
@@ -51,6 +52,10 @@
 /// readings). `SlowdownEstimator` gives the slowdown that remains; it scales
 /// the expected service time of new calls and the reported service time.
 ///
+/// Starts at an upstream that may be cold are limited (`ColdStartLimiter`), and
+/// grow step by step when it takes load again (`ReturnRamp`), if its service
+/// names a limit for cold upstreams.
+///
 /// Everything runs on one thread, so the counts of slots and queued calls are
 /// exact and no locks are needed. The number of calls held is bounded by the
 /// slots and the queue length in force; a queued call whose time is over is
@@ -125,6 +130,11 @@
   /// Whether no call is held, neither queued nor running.
   bool Drained() const { return m_calls.empty(); }
 
+  /// The data centre of the upstream takes load again: from `now` on, the rate
+  /// of starts grows step by step, see `ReturnRamp`. No effect on an upstream
+  /// whose service names no limit for cold ones.
+  void OnDataCentreReturned(TimePoint now);
+
   /// Stops the tick and the health probes, sends pending reports and closes
   /// idle connections to the upstream. Does not end the calls held.
   void Close();
@@ -211,7 +221,22 @@
   void ResetRateLimit();
   /// Lifts that limit if no reply came for too long.
   void ExpireUnknownRateLimit(TimePoint now);
-  void SetRateLimit(const RateLimit& limit, std::string_view source);
+  /// Takes the limit that the upstream names; nothing: none.
+  void SetNamedLimit(const RateLimit& limit, std::string_view source);
+  /// Limits the starts to the lowest of the rates named by the upstream, borne
+  /// by a cold one, and allowed while it takes load again.
+  void ApplyStartRate(std::string_view source);
+  /// Takes what the health page says of the cold time, in reply to a probe sent
+  /// at `asked_at`.
+  void OnColdTime(const Result<ColdTime, ColdTimeError>& cold,
+                  TimePoint asked_at);
+  void OnCold(Duration remaining, TimePoint now);
+  void OnWarm(TimePoint asked_at, TimePoint now);
+  /// Advances the ramp, and probes the health page if the starts that may be
+  /// at a cold upstream need it.
+  void UpdateColdStarts(TimePoint now);
+  /// Fills in what the report says of limited starts.
+  void ReportColdStarts(LoadReport& report, TimePoint now) const;
   void OnHealthStatus(const HealthStatus& health,
                       const std::optional<UpstreamLoad>& load);
 
@@ -236,7 +261,10 @@
   bool m_health_names_limit = false;  ///< Health replies name the limit, too.
   bool m_limit_known = false;  ///< A reply has told whether there is one.
   TimePoint m_limit_unknown_since{};
-  bool m_listed_leaving = false;  ///< Leaving by the platform's list.
+  RateLimit m_named_limit;  ///< By the upstream.
+  ReturnRamp m_return_ramp;
+  std::string m_refused_cold_time;  ///< Text last logged as refused.
+  bool m_listed_leaving = false;    ///< Leaving by the platform's list.
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_tickets;  ///< By stream key.
   /// Sequence numbers seen, by VM and boot id of the offering process.
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include "node/exit_call.h"
 #include "node/exit_calls.h"
@@ -9,6 +10,18 @@
 
 namespace yuccamast {
 
+namespace {
+
+/// Starts possible now; -1: not limited.
+std::int64_t StartsLeftForDump(const Admission& admission, TimePoint now) {
+  const std::size_t left = admission.StartsLeft(now);
+  return left == std::numeric_limits<std::size_t>::max()
+             ? -1
+             : static_cast<std::int64_t>(left);
+}
+
+}  // namespace
+
 LoadReport ExitCalls::MakeReport() const {
   LoadReport report;
   report.boot_id = m_boot_id;
@@ -27,6 +40,7 @@
   report.slowness = m_vm_speed.slowness_percent();
   report.slow_remaining_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_vm_speed.At(Clock::now()).slow_remaining));
+  ReportColdStarts(report, now);
   return report;
 }
 
@@ -114,6 +128,10 @@
       {"running_long", m_admission.running_long()},
       {"queued", m_admission.queued()},
       {"service_us", ToMicroseconds(m_admission.mean_short_service())},
+      {"cold_remaining_ms",
+       ToMicroseconds(m_admission.cold_starts().ColdRemaining(now)) / 1000},
+      {"starts_per_s", m_admission.rate_limit()},
+      {"starts_left", StartsLeftForDump(m_admission, now)},
       {"upstream_connections",
        std::uint64_t{m_upstream == nullptr ? 0 : m_upstream->connections()}},
       {"upstream_idle",
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -34,29 +34,22 @@
   }
 }
 
-void ExitCalls::SetRateLimit(const RateLimit& limit, std::string_view source) {
-  const TimePoint now = Clock::now();
-  const double before = m_admission.rate_limit();
-  m_admission.SetRateLimit(limit, now);
-  if (before != m_admission.rate_limit()) {
-    Log(LogLevel::kInfo, LogEvent::kUpstreamRateLimit,
-        {{"per_second", m_admission.rate_limit()},
-         {"before", before},
-         {"source", source}});
-  }
+void ExitCalls::SetNamedLimit(const RateLimit& limit, std::string_view source) {
+  m_named_limit = limit;
+  ApplyStartRate(source);
 }
 
 void ExitCalls::ResetRateLimit() {
   m_limit_known = false;
   m_limit_unknown_since = Clock::now();
   m_health_names_limit = false;
-  SetRateLimit(kUnknownRateLimit, "unknown");
+  SetNamedLimit(kUnknownRateLimit, "unknown");
 }
 
 void ExitCalls::ExpireUnknownRateLimit(TimePoint now) {
   if (!m_limit_known && now - m_limit_unknown_since >= kUnknownRateLimitTime) {
     m_limit_known = true;
-    SetRateLimit(std::nullopt, "unknown");
+    SetNamedLimit(std::nullopt, "unknown");
   }
 }
 
@@ -68,7 +61,7 @@
     m_limit_known = true;
     m_limit_named_at = Clock::now();
     m_health_names_limit = m_health_names_limit || is_health;
-    SetRateLimit(limit, source);
+    SetNamedLimit(limit, source);
     return;
   }
   // A reply to an earlier request may be older than the one that named the
@@ -76,7 +69,7 @@
   const bool is_newer = !m_limit_known || sent_at > m_limit_named_at;
   if (is_newer && (!is_health || m_health_names_limit || !m_limit_known)) {
     m_limit_known = true;
-    SetRateLimit(std::nullopt, source);
+    SetNamedLimit(std::nullopt, source);
   }
 }
 
@@ -212,6 +205,9 @@
   limits.queue_length = service->second.queue_length;
   limits.queue_limit = service->second.queue_limit;
   m_admission.SetLimits(limits);
+  m_admission.cold_starts().SetLimit(service->second.cold_starts_per_s);
+  m_return_ramp.SetBase(service->second.cold_starts_per_s);
+  ApplyStartRate("configuration");
   if (m_health_checker != nullptr && m_settings.health_path.empty()) {
     m_health_checker->SetHealthPath(service->second.health_path);
   }
