Choose upstreams by the starts that their exits have left

Cause: an exit whose upstream is cold has free slots but no starts left; entries saw an idle upstream.

Change: entries take the starts left and the rate from load reports and subtract what they have sent since; a cold upstream costs twice as much, so warm ones go first while they have room. A call for which no queried exit has room before its deadline tries any other that may have some, from a random one on, or is refused as `cold_limit` without an offer. Reports of older nodes name no limit.

--- a/include/yuccamast/balance/policy.h
+++ b/include/yuccamast/balance/policy.h
@@ -71,6 +71,23 @@
                                   const ChoiceContext& context,
                                   const RandomHook& random);
 
+/// Replaces a chosen upstream that limits its starts and has no room for one
+/// that ends before `due` (`UpstreamState::StartWait`, plus distance and mean
+/// service time) by another one that has: the first usable one from a random
+/// index on, so that entries with the same reports spread. Returns nothing if
+/// there is none: offers would then be in vain. A queue that an old report
+/// tells of counts for nothing: the exit of a chosen upstream then decides, and
+/// no other is tried for it. Linear in the number of candidates unless `chosen`
+/// has room. Precondition: `chosen` is an index of `candidates`. Thread-safe if
+/// `random` is.
+std::optional<std::size_t> RequireStartRoom(
+    std::size_t chosen,
+    std::span<const Candidate> candidates,
+    std::span<const std::size_t> excluded,
+    TimePoint now,
+    TimePoint due,
+    const RandomHook& random);
+
 /// Mean of `UpstreamState::OthersInFlight` over `kSampleSize` random
 /// candidates, which may be the same ones; used as prior for upstreams with an
 /// old report. 0 without candidates. Thread-safe if `random` is.
--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -24,7 +24,10 @@
 ///   upstream is noticed before its calls end.
 /// - Failures: a count with exponential decay.
 /// - Slow start: an upstream that was added cold, that is newly started, has a
-///   higher cost at first.
+///   higher cost at first, and so has one that its exit reports as cold.
+/// - Limited starts: if the exit limits the starts of calls, since the upstream
+///   is cold or takes load again, a call waits until those that this node has
+///   sent since the report leave room for it (`StartWait`).
 
 namespace yuccamast {
 
@@ -98,6 +101,10 @@
   /// there must be no recent failures.
   bool HasSpareSlot(TimePoint now, const EstimateOptions& options) const;
 
+  /// Time until the exit is expected to have room for the start of a new call,
+  /// if it limits starts; zero without a limit.
+  Duration StartWait(TimePoint now) const;
+
   /// Calls of other nodes in flight as of the last report: its total minus the
   /// own calls at that time, at least zero.
   double OthersInFlight() const;
@@ -134,7 +141,8 @@
   static constexpr std::uint32_t kMaxUnanswered = 4;
 
   /// Cost without penalties, from a report that needs no prior.
-  Duration CostFromFreshReport(const EstimateOptions& options) const;
+  Duration CostFromFreshReport(TimePoint now,
+                               const EstimateOptions& options) const;
   /// Expected service time of the call at the VM's current speed or, if that is
   /// shorter, the rest of the slow period plus the time at normal speed.
   Duration ExpectedServiceTime(const EstimateOptions& options) const;
@@ -149,7 +157,10 @@
   double InFlight(TimePoint now,
                   double prior_others_in_flight,
                   const EstimateOptions& options) const;
-  /// Factor on the cost of a cold upstream: from 10 down to 1.
+  /// Whether the upstream is cold by the last report.
+  bool IsReportedCold(TimePoint now) const;
+  /// Factor on the cost of a cold upstream: from 10 down to 1 if it was added
+  /// cold; `kReportedColdFactor` if it is reported as cold.
   double ColdFactor(TimePoint now, const EstimateOptions& options) const;
 
   const TimePoint m_first_seen;
@@ -170,6 +181,9 @@
   std::atomic<std::uint32_t> m_wait_us{0};
   std::atomic<std::uint32_t> m_slowness{100};
   std::atomic<std::uint32_t> m_slow_remaining_us{0};
+  std::atomic<std::uint32_t> m_cold_remaining_us{0};
+  std::atomic<std::uint32_t> m_starts_per_ks{0};
+  std::atomic<std::uint32_t> m_starts_left{0};
   std::atomic<std::uint32_t> m_sent_since_report{0};
   std::atomic<std::uint32_t> m_unanswered{0};  ///< Load queries in a row.
   std::atomic<bool> m_leaving{false};
--- a/src/libyuccamast/balance/balance_test.cpp
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -253,3 +253,88 @@
   cr_expect_not(has_spare_slot(0, 400, 5));
   cr_expect_not(has_spare_slot(0, 100, 50));
 }
+
+namespace {
+
+/// A report of an exit that limits its starts to 20 a second.
+LoadReport LimitedReport(std::uint32_t starts_left, milliseconds wait) {
+  LoadReport report;
+  report.limit = 10;
+  report.service_us = 5000;
+  report.wait_us = static_cast<std::uint32_t>(wait.count() * 1000);
+  report.cold_remaining_us = 3'000'000;
+  report.starts_per_ks = 20'000;
+  report.starts_left = starts_left;
+  return report;
+}
+
+}  // namespace
+
+// Load: part of a service is cold. Guards against a herd to the cold upstreams,
+// whose calls run as fast by their reports, and against not using them at all
+// when the warm ones are full.
+Test(cold_choice, warm_upstreams_are_preferred_while_they_have_room) {
+  Fixture fixture(2);
+  fixture.candidates[0].state->OnReport(LimitedReport(5, milliseconds(0)),
+                                        fixture.now);
+  cr_expect_lt(fixture.Share(0), 0.05);
+  fixture.Report(1, 25);
+  cr_expect_gt(fixture.Share(0), 0.9);
+}
+
+// Load: a burst within the life of one report. Guards against an entry that
+// sends more to a cold upstream than the starts that it has left.
+Test(cold_choice, own_sends_since_the_report_use_up_the_starts_left) {
+  Fixture fixture(1);
+  UpstreamState& state = *fixture.candidates[0].state;
+  state.OnReport(LimitedReport(3, milliseconds(0)), fixture.now);
+  for (int i = 0; i < 3; ++i) {
+    cr_expect(state.StartWait(fixture.now) == Duration(), "send %d", i);
+    state.OnSent(fixture.now);
+  }
+  cr_expect(state.StartWait(fixture.now) == milliseconds(50));
+  cr_expect(state.StartWait(fixture.now + milliseconds(50)) == Duration());
+}
+
+// Load: a whole data centre is cold and more calls come than it bears. Guards
+// against offers that must be in vain, and against all entries moving to the
+// same upstream that has room.
+Test(cold_choice, a_call_without_room_anywhere_is_refused_at_once) {
+  Fixture fixture(6);
+  for (const Candidate& candidate : fixture.candidates) {
+    candidate.state->OnReport(LimitedReport(0, milliseconds(900)), fixture.now);
+  }
+  const auto require_room = [&](milliseconds left) {
+    return RequireStartRoom(0, fixture.candidates, {}, fixture.now,
+                            fixture.now + left,
+                            [&] { return fixture.random(); });
+  };
+  cr_expect_not(require_room(milliseconds(800)).has_value());
+  cr_expect(require_room(milliseconds(1000)) == std::size_t{0});
+  std::array<int, 6> hits{};
+  for (const std::size_t roomy : {2, 4}) {
+    fixture.candidates[roomy].state->OnReport(LimitedReport(9, milliseconds(0)),
+                                              fixture.now);
+  }
+  for (int i = 0; i < 100; ++i) {
+    ++hits.at(require_room(milliseconds(800)).value());
+  }
+  cr_expect_eq(hits[2] + hits[4], 100);
+  cr_expect(hits[2] > 20 && hits[4] > 20, "%d and %d", hits[2], hits[4]);
+}
+
+// Failure: nodes of two versions. An older exit sends a shorter report, an
+// older entry gets a longer one.
+Test(cold_choice, reports_of_other_versions_are_read) {
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, std::make_tuple(7, 1, 2, 3, 4, 5, false, 6, 110, 8));
+  LoadReport report;
+  msgpack::unpack(bytes.data(), bytes.size()).get().convert(report);
+  cr_expect_eq(report.slow_remaining_us, 8U);
+  cr_expect_eq(report.starts_per_ks, 0U);
+  bytes.clear();
+  msgpack::pack(bytes, std::make_tuple(7, 1, 2, 3, 4, 5, false, 6, 110, 8, 9,
+                                       10, 11, 12, 13));
+  msgpack::unpack(bytes.data(), bytes.size()).get().convert(report);
+  cr_expect_eq(report.starts_left, 11U);
+}
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -179,6 +179,41 @@
   return chooser.BestOfSample(kSampleSize, cost);
 }
 
+std::optional<std::size_t> RequireStartRoom(
+    std::size_t chosen,
+    std::span<const Candidate> candidates,
+    std::span<const std::size_t> excluded,
+    TimePoint now,
+    TimePoint due,
+    const RandomHook& random) {
+  const auto has_room = [&](std::size_t index) {
+    const Candidate& candidate = candidates[index];
+    const Duration wait = candidate.state->StartWait(now);
+    const std::chrono::microseconds service(candidate.state->service_us());
+    return wait == Duration::zero() ||
+           now + candidate.distance + wait + service < due;
+  };
+  const auto is_fresh = [&](std::size_t index) {
+    return candidates[index].state->ReportAge(now) <=
+           EstimateOptions{}.fresh_report_age;
+  };
+  if (has_room(chosen) || !is_fresh(chosen)) {
+    return chosen;
+  }
+  const std::size_t start = random() % candidates.size();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const std::size_t index = (start + i) % candidates.size();
+    if (!candidates[index].state->IsLeaving(now) &&
+        std::ranges::find(excluded, index) == excluded.end() &&
+        has_room(index) &&
+        (is_fresh(index) ||
+         candidates[index].state->StartWait(now) == Duration::zero())) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
 double SamplePrior(std::span<const Candidate> candidates,
                    const RandomHook& random) {
   if (candidates.empty()) {
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -33,6 +33,14 @@
 /// A decayed failure count below this is treated as zero.
 constexpr double kMinFailures = 0.05;
 
+/// Cost of an upstream that is reported as cold, relative to a warm one: calls
+/// take longer there, and its starts are better kept for a lack of room.
+constexpr double kReportedColdFactor = 2.0;
+
+/// A reported limit of starts counts for this long, or until the reported end
+/// of the cold time; calls then try the upstream again.
+constexpr Duration kStartLimitTtl = std::chrono::seconds(1);
+
 /// Upper bound of an estimate, so that sums of costs cannot overflow.
 constexpr Duration kMaxCost = std::chrono::seconds(60);
 
@@ -70,6 +78,9 @@
   m_wait_us.store(report.wait_us, kRelaxed);
   m_slowness.store(report.slowness, kRelaxed);
   m_slow_remaining_us.store(report.slow_remaining_us, kRelaxed);
+  m_cold_remaining_us.store(report.cold_remaining_us, kRelaxed);
+  m_starts_per_ks.store(report.starts_per_ks, kRelaxed);
+  m_starts_left.store(report.starts_left, kRelaxed);
   m_sent_since_report.store(0, kRelaxed);
   m_unanswered.store(0, kRelaxed);
   m_reported_at.store(Ticks(now), kRelaxed);
@@ -92,10 +103,36 @@
                               m_sent_since_report.load(kRelaxed) + kSpareSlots;
   return ReportAge(now) <= options.fresh_report_age && !IsLeaving(now) &&
          m_slowness.load(kRelaxed) < kSlowThresholdPercent &&
-         m_wait_us.load(kRelaxed) == 0 && taken < m_limit.load(kRelaxed) &&
+         m_wait_us.load(kRelaxed) == 0 && !IsReportedCold(now) &&
+         StartWait(now) == Duration::zero() && taken < m_limit.load(kRelaxed) &&
          RecentFailures(now, options) == 0.0;
 }
 
+bool UpstreamState::IsReportedCold(TimePoint now) const {
+  const std::uint32_t remaining_us = m_cold_remaining_us.load(kRelaxed);
+  return remaining_us > 0 &&
+         ReportAge(now) < std::chrono::microseconds(remaining_us);
+}
+
+Duration UpstreamState::StartWait(TimePoint now) const {
+  const double rate = m_starts_per_ks.load(kRelaxed) / 1000.0;
+  const Duration age = ReportAge(now);
+  if (rate <= 0 || (age > kStartLimitTtl && !IsReportedCold(now))) {
+    return Duration::zero();
+  }
+  const auto time_for = [rate](double starts) {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(starts / rate));
+  };
+  const double sent = m_sent_since_report.load(kRelaxed);
+  const double left = m_starts_left.load(kRelaxed);
+  if (left > 0) {
+    return std::max(time_for(sent + 1.0 - left) - age, Duration::zero());
+  }
+  // Other nodes keep the queue as long as it was: its age doesn't shorten it.
+  return std::chrono::microseconds(m_wait_us.load(kRelaxed)) + time_for(sent);
+}
+
 double UpstreamState::OthersInFlight() const {
   const double total = m_reported_in_flight.load(kRelaxed);
   const double own = m_own_at_report.load(kRelaxed);
@@ -151,11 +188,12 @@
 
 double UpstreamState::ColdFactor(TimePoint now,
                                  const EstimateOptions& options) const {
+  const double reported = IsReportedCold(now) ? kReportedColdFactor : 1.0;
   if (!m_cold) {
-    return 1.0;
+    return reported;
   }
   const double warmup_fraction = Ratio(now - m_first_seen, options.cold_start);
-  return 1.0 / std::clamp(warmup_fraction, 0.1, 1.0);
+  return std::max(reported, 1.0 / std::clamp(warmup_fraction, 0.1, 1.0));
 }
 
 Duration UpstreamState::ExpectedServiceTime(
@@ -193,6 +231,7 @@
 }  // namespace
 
 Duration UpstreamState::CostFromFreshReport(
+    TimePoint now,
     const EstimateOptions& options) const {
   const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
   const double sent_since_report = m_sent_since_report.load(kRelaxed);
@@ -204,9 +243,10 @@
   // Without a free slot, the calls that this node has sent since the report are
   // queued before this one.
   const Duration wait =
-      reported_wait + (utilization > 1.0
-                           ? Scale(work, sent_since_report / limit)
-                           : Duration::zero());
+      std::max(StartWait(now),
+               reported_wait + (utilization > 1.0
+                                    ? Scale(work, sent_since_report / limit)
+                                    : Duration::zero()));
   return std::max(wait + work,
                   Scale(work, 1.0 + ContentionFactor(utilization)));
 }
@@ -218,7 +258,7 @@
       Scale(options.failure_penalty, RecentFailures(now, options));
   if (ReportAge(now) <= options.fresh_report_age) {
     return std::min(
-        Scale(CostFromFreshReport(options), ColdFactor(now, options)) +
+        Scale(CostFromFreshReport(now, options), ColdFactor(now, options)) +
             failures,
         kMaxCost);
   }
@@ -229,7 +269,8 @@
   const double contention = ContentionFactor((in_flight + 1.0) / assumed_limit);
   const Duration service = ServiceTime(now, options);
   const Duration cost =
-      Scale(service, (1.0 + contention) * ColdFactor(now, options)) + failures +
+      Scale(service, (1.0 + contention) * ColdFactor(now, options)) +
+      StartWait(now) + failures +
       (m_unanswered.load(kRelaxed) > 0 ? options.unanswered_penalty
                                        : Duration::zero());
   return std::min(cost, kMaxCost);
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -121,8 +121,11 @@
   choice.round_robin_turn = m_context.call_count;
   choice.queried = m_queried;
   choice.prior_others_in_flight = SamplePrior(m_service->candidates, random);
-  const auto member = Choose(m_service->service.policy, m_service->candidates,
-                             m_tried, choice, random);
+  if (m_service->service.cold_start > std::chrono::milliseconds::zero()) {
+    choice.options.cold_start = m_service->service.cold_start;
+  }
+  auto member = Choose(m_service->service.policy, m_service->candidates,
+                       m_tried, choice, random);
   if (!member && if_none == RefusalReason::kPaused && m_offers < kMaxOffers) {
     OfferAgainLater(if_none);
     return;
@@ -131,6 +134,12 @@
     EndWithoutSuccess(if_none);
     return;
   }
+  member = RequireStartRoom(*member, m_service->candidates, m_tried, now,
+                            m_deadline, random);
+  if (!member) {
+    EndWithoutSuccess(m_offers == 0 ? RefusalReason::kColdLimit : if_none);
+    return;
+  }
   if (!IsWorthMoving(*member, if_none, now)) {
     EndWithoutSuccess(if_none);
     return;
@@ -156,6 +165,7 @@
                               RefusalReason refused_as,
                               TimePoint now) const {
   const bool for_load = refused_as == RefusalReason::kQueueFull ||
+                        refused_as == RefusalReason::kColdLimit ||
                         refused_as == RefusalReason::kQueueTimeout;
   if (m_offers < kUnconditionalOffers || !for_load ||
       !m_context.settings.asks_load) {
