--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -110,7 +110,7 @@
     return;
   }
   if (request.path == "/health") {
-    respond(MakeReply(200, "ok", StateFields()));
+    respond(MakeReply(200, "ok", StateFields() + ColdField()));
     return;
   }
   CountArrival();
@@ -148,8 +148,25 @@
   return fields;
 }
 
+std::string UpstreamStandIn::ColdField() const {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      m_cold_until - std::chrono::steady_clock::now());
+  return left.count() <= 0
+             ? ""
+             : "Yuccamast-Upstream-Cold-Ms: " + std::to_string(left.count()) +
+                   "\r\n";
+}
+
 void UpstreamStandIn::CountArrival() {
   const auto now = std::chrono::steady_clock::now();
+  if (IsCold(now)) {
+    m_cold_arrivals.push_back(now);
+    while (now - m_cold_arrivals.front() >= std::chrono::seconds(1)) {
+      m_cold_arrivals.pop_front();
+    }
+    m_busiest_cold_second =
+        std::max(m_busiest_cold_second, m_cold_arrivals.size());
+  }
   m_arrivals.push_back(now);
   while (now - m_arrivals.front() > kArrivalWindow) {
     m_arrivals.pop_front();
@@ -254,7 +271,8 @@
        << m_queue.size() << "\npaced " << m_paced << "\npeak " << m_peak_running
        << "\ncancelled " << m_cancelled << "\nconnections "
        << m_server.connections() << "\naccepted " << m_server.accepted()
-       << "\nbusiest " << m_busiest_window << "\n";
+       << "\nbusiest " << m_busiest_window << "\nbusiest_cold "
+       << m_busiest_cold_second << "\n";
   return text.str();
 }
 
@@ -273,8 +291,15 @@
     m_shedding = QueryNumber(request, "shedding", m_shedding ? 1 : 0) != 0;
     m_fail_percent = QueryNumber(request, "fail_share", m_fail_percent);
     m_rate_limit = QueryNumber(request, "rate_limit", m_rate_limit);
+    if (request.query.contains("cold_ms")) {
+      m_cold_until =
+          std::chrono::steady_clock::now() +
+          std::chrono::milliseconds(QueryNumber(request, "cold_ms", 0));
+    }
     m_arrivals.clear();
     m_busiest_window = 0;
+    m_cold_arrivals.clear();
+    m_busiest_cold_second = 0;
   }
   respond(MakeReply(200, FormatState()));
 }
--- a/src/standin/upstream.h
+++ b/src/standin/upstream.h
@@ -31,7 +31,8 @@
 ///
 /// `/health` answers 200 at once. While draining, replies with status 200, also
 /// to `/health`, carry `Yuccamast-Upstream-Leaving`; those to `fail` do not.
-/// While it limits its rate, they carry `Yuccamast-Upstream-Rate-Limit`.
+/// While it limits its rate, they carry `Yuccamast-Upstream-Rate-Limit`. While
+/// it is cold, those to `/health` carry `Yuccamast-Upstream-Cold-Ms`.
 ///
 /// Control pages:
 /// - `/_standin/set` changes the upstream as a whole: `slow_percent=N` (service
@@ -39,7 +40,8 @@
 ///   leaving), `shedding=0|1` (answers all requests as `fail=shed`),
 ///   `fail_share=N` (this percentage of requests, at random, fails at once with
 ///   status 500), `rate_limit=N` (announces that it takes N requests a second;
-///   0: none) and resets the count of the busiest window;
+///   0: none), `cold_ms=N` (is cold for so long from now on, which changes no
+///   service times) and resets the counts of the busiest windows;
 /// - `/_standin/ledger` returns how often each request id ran, as lines `ID N`;
 /// - `/_standin/state` (as `/_standin/set` and any other path that begins with
 ///   `/_standin/`) returns the counts in text lines.
@@ -85,7 +87,13 @@
   RawReply BuildReply(const Request& request);
   /// Field lines that announce that the upstream is leaving or limits its rate.
   std::string StateFields() const;
-  /// Counts an arrival in the sliding window.
+  /// Field line with the remaining cold time; empty if it is not cold.
+  std::string ColdField() const;
+  /// Whether it is cold as `cold_ms` of the control page says.
+  bool IsCold(std::chrono::steady_clock::time_point now) const {
+    return now < m_cold_until;
+  }
+  /// Counts an arrival in the sliding windows.
   void CountArrival();
   std::string FormatLedger() const;
   std::string FormatState() const;
@@ -108,6 +116,10 @@
   /// Arrivals of the last `kArrivalWindow`, and the most there ever were.
   std::deque<std::chrono::steady_clock::time_point> m_arrivals;
   std::size_t m_busiest_window = 0;
+  std::chrono::steady_clock::time_point m_cold_until{};
+  /// Arrivals of the last second in which it was cold, and the most.
+  std::deque<std::chrono::steady_clock::time_point> m_cold_arrivals;
+  std::size_t m_busiest_cold_second = 0;
   /// Runs by request id. A request is counted on arrival unless it is shed, so
   /// that one that is cancelled while it waits counts as a run, too.
   std::map<std::string, unsigned> m_ledger;
