--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -70,6 +70,9 @@
     "data_centre_returned",
     "exit_evacuated",
     "exit_returned",
+    "upstream_cold",
+    "upstream_warm",
+    "upstream_field_refused",
     "internal"};
 
 std::atomic<LogLevel> g_min_level{LogLevel::kWarning};
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -82,6 +82,9 @@
   kDataCentreReturned,
   kExitEvacuated,
   kExitReturned,
+  kUpstreamCold,
+  kUpstreamWarm,
+  kUpstreamFieldRefused,
   kInternal,
 };
 
