Probe the health page at each tick while the rate limit is unknown

Cause: a node that starts before its upstream allows four starts a second until a reply names the limit, and probed the health page only each half second. Calls in between were refused as queue_timeout beside free slots.

Change: while the limit is unknown, the exit probes at each tick.

--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -223,7 +223,8 @@
   void OnRateLimit(const RateLimit& limit, TimePoint sent_at, bool is_health);
   /// Limits the starts until a reply tells the limit of the upstream.
   void ResetRateLimit();
-  /// Lifts that limit if no reply came for too long.
+  /// Probes the health page while that limit holds, and lifts it if no reply
+  /// came for too long.
   void ExpireUnknownRateLimit(TimePoint now);
   /// Takes the limit that the upstream names; nothing: none.
   void SetNamedLimit(const RateLimit& limit, std::string_view source);
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -47,6 +47,9 @@
 }
 
 void ExitCalls::ExpireUnknownRateLimit(TimePoint now) {
+  if (!m_limit_known && m_health_checker != nullptr) {
+    m_health_checker->ProbeNow();
+  }
   if (!m_limit_known && now - m_limit_unknown_since >= kUnknownRateLimitTime) {
     m_limit_known = true;
     SetNamedLimit(std::nullopt, "unknown");
--- a/testsuite/rate_limit_test.cpp
+++ b/testsuite/rate_limit_test.cpp
@@ -104,3 +104,22 @@
   const long busiest = BusiestWindow(fleet);
   cr_expect_gt(busiest, 4 * kMostInWindow, "%ld requests in 4 s", busiest);
 }
+
+// Guards against calls that are refused beside an idle upstream, since its node
+// was there first and still assumes a limit that no reply has named yet.
+Test(rate_limit, upstream_that_starts_after_its_node_gets_calls_at_once) {
+  LocalFleet fleet(OneUpstreamSpec());
+  cr_assert(fleet.WaitUntilReady());
+  fleet.vm(0).upstream->Signal(SIGKILL);
+  fleet.vm(0).node->Signal(SIGKILL);
+  fleet.StartNode(0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  fleet.StartUpstream(0);
+  cr_assert(fleet.WaitUntilReady());
+  for (int i = 0; i < 4; ++i) {
+    const auto reply = SendRequest(fleet.vm(0).caller_port, "POST",
+                                   "/order?sleep_ms=0&cut=21", "data");
+    cr_expect_eq(reply.Field("yuccamast-reason"), "reply_incomplete", "%s",
+                 reply.raw.c_str());
+  }
+}
