--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -59,6 +59,9 @@
   kTooManyConnections,
   /// The reply came from another upstream, which did not run the request.
   kMisdirected,
+  /// The operator has emptied the data centre of the upstream, or those of all
+  /// upstreams of the service.
+  kEvacuated,
   kColdLimit,  ///< The upstream is cold, and its limit of starts is used up.
 };
 
@@ -75,7 +78,7 @@
 };
 
 /// Number of enumerators of `RefusalReason`.
-inline constexpr std::size_t kRefusalReasonCount = 30;
+inline constexpr std::size_t kRefusalReasonCount = 31;
 
 /// The table of reasons, indexed by their values.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/balance/balance_test.cpp
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -316,6 +316,9 @@
     fixture.candidates[roomy].state->OnReport(LimitedReport(9, milliseconds(0)),
                                               fixture.now);
   }
+  fixture.candidates[5].state->OnReport(LimitedReport(9, milliseconds(0)),
+                                        fixture.now);
+  fixture.candidates[5].state->SetEvacuated(true);
   for (int i = 0; i < 100; ++i) {
     ++hits.at(require_room(milliseconds(800)).value());
   }
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -105,9 +105,9 @@
   }
 
  private:
-  /// Whether it is neither leaving nor excluded.
+  /// Whether calls may be sent to it and it is not excluded.
   bool IsUsable(std::size_t index) const {
-    return !m_candidates[index].state->IsLeaving(m_context.now) &&
+    return m_candidates[index].state->IsUsable(m_context.now) &&
            std::ranges::find(m_excluded, index) == m_excluded.end();
   }
 
@@ -203,7 +203,7 @@
   const std::size_t start = random() % candidates.size();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const std::size_t index = (start + i) % candidates.size();
-    if (!candidates[index].state->IsLeaving(now) &&
+    if (candidates[index].state->IsUsable(now) &&
         std::ranges::find(excluded, index) == excluded.end() &&
         has_room(index) &&
         (is_fresh(index) ||
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -48,7 +48,7 @@
       m_request(std::move(request)),
       m_done(std::move(done)),
       m_id(CallIdOf(context, m_request)),
-      m_received_at(Clock::now()),
+      m_received_at(m_request.received_at),
       m_timer(context.io) {}
 
 std::string EntryCall::CallIdOf(EntryContext& context,
@@ -378,13 +378,17 @@
 }
 
 void EntryCall::OnSuspect() {
-  if (m_finished || !m_attempt.open || !m_rule->idempotent ||
-      !TryBeginRetry()) {
+  if (m_finished || !m_attempt.open || !m_rule->idempotent) {
+    return;
+  }
+  // The open offer counts before the retry is decided: it may be running.
+  ++m_arrivals;
+  if (!TryBeginRetry()) {
+    --m_arrivals;
     return;
   }
   m_attempt.link->Cancel(m_attempt.offer);
   EndAttempt(AttemptEnd::kFailed);
-  ++m_arrivals;
   m_may_have_run = true;
   OfferToNext(RefusalReason::kPeerLost);
 }
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -36,7 +36,8 @@
 ///
 /// An offer is checked first: protocol version, name of the upstream, repeated
 /// or late sequence number (one `SequenceWindow` for each offering process),
-/// leaving, a recent pause of this process, nesting depth, memory budget.
+/// leaving, an emptied data centre, a recent pause of this process, nesting
+/// depth, memory budget.
 /// `Admission` then starts it, queues it, or refuses it. The steps of a call
 /// are admitted, started, answered, refused or cancelled, and finished; see
 /// `CallStateMachine`. A call counts as started from `TryStart` on, which runs
@@ -130,11 +131,6 @@
   /// Whether no call is held, neither queued nor running.
   bool Drained() const { return m_calls.empty(); }
 
-  /// The data centre of the upstream takes load again: from `now` on, the rate
-  /// of starts grows step by step, see `ReturnRamp`. No effect on an upstream
-  /// whose service names no limit for cold ones.
-  void OnDataCentreReturned(TimePoint now);
-
   /// Stops the tick and the health probes, sends pending reports and closes
   /// idle connections to the upstream. Does not end the calls held.
   void Close();
@@ -198,8 +194,16 @@
   /// Refuses all queued calls if this thread did not run for a while: what was
   /// queued before such a pause may be obsolete.
   void CheckPause(TimePoint now);
-  /// Applies the limits of the newest configuration.
+  /// Applies the limits of the newest configuration, and whether the operator
+  /// has emptied this data centre.
   void RefreshLimits();
+  /// When the data centre is emptied, refuses all queued calls; running ones go
+  /// on. Calls `OnDataCentreReturned` when it is taken back.
+  void UpdateEvacuated(bool evacuated, TimePoint now);
+  /// The data centre was emptied and is taken back. From `now` on, the rate of
+  /// starts grows step by step, see `ReturnRamp`, if the upstream's service
+  /// names a limit for cold ones.
+  void OnDataCentreReturned(TimePoint now);
   UpstreamRequest BuildRequest(Call& call) const;
   bool IsUpstreamDraining() const {
     return m_health_checker != nullptr && m_health_checker->draining();
@@ -261,10 +265,11 @@
   bool m_health_names_limit = false;  ///< Health replies name the limit, too.
   bool m_limit_known = false;  ///< A reply has told whether there is one.
   TimePoint m_limit_unknown_since{};
-  RateLimit m_named_limit;  ///< By the upstream.
+  bool m_listed_leaving = false;  ///< Leaving by the platform's list.
+  bool m_evacuated = false;       ///< The operator has emptied the data centre.
+  RateLimit m_named_limit;        ///< By the upstream.
   ReturnRamp m_return_ramp;
   std::string m_refused_cold_time;  ///< Text last logged as refused.
-  bool m_listed_leaving = false;    ///< Leaving by the platform's list.
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_tickets;  ///< By stream key.
   /// Sequence numbers seen, by VM and boot id of the offering process.
