--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -203,7 +203,7 @@
   const std::size_t start = random() % candidates.size();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const std::size_t index = (start + i) % candidates.size();
-    if (!candidates[index].state->IsLeaving(now) &&
+    if (candidates[index].state->IsUsable(now) &&
         std::ranges::find(excluded, index) == excluded.end() &&
         has_room(index) &&
         (is_fresh(index) ||
--- a/src/libyuccamast/node/exit_cold.cpp
+++ b/src/libyuccamast/node/exit_cold.cpp
@@ -85,11 +85,6 @@
   }
 }
 
-void ExitCalls::OnDataCentreReturned(TimePoint now) {
-  m_return_ramp.Begin(now);
-  ApplyStartRate("return");
-}
-
 void ExitCalls::UpdateColdStarts(TimePoint now) {
   if (m_return_ramp.rate()) {
     const Duration service = m_service_times.OverallMean();
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -180,7 +180,6 @@
   }
   m_evacuated = evacuated;
   if (!evacuated) {
-    Log(LogLevel::kInfo, LogEvent::kExitReturned, {});
     OnDataCentreReturned(now);
     return;
   }
@@ -193,6 +192,12 @@
       {{"refused", queued.size()}, {"running", m_admission.running()}});
 }
 
+void ExitCalls::OnDataCentreReturned(TimePoint now) {
+  Log(LogLevel::kInfo, LogEvent::kExitReturned, {});
+  m_return_ramp.Begin(now);
+  ApplyStartRate("return");
+}
+
 void ExitCalls::RefreshLimits() {
   const auto view = m_view_store.Load();
   if (view == m_limits_view) {
