Decide at the match whether a call may overlap

Cause: the decision read the body of a call that was already offered, by when the body may have been moved.

Change: it is made when the rule is found.

--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -117,9 +117,7 @@
 
   /// Whether pipelined requests may run beside this call, see
   /// `CallerHooks::may_overlap`. False until the call is matched.
-  bool may_overlap() const {
-    return m_rule != nullptr && MayOverlap(*m_rule, m_request);
-  }
+  bool may_overlap() const { return m_may_overlap; }
   /// The same of a request that has not been started. Thread-safe.
   static bool MayOverlap(const Configuration& config,
                          const CallerRequest& request);
@@ -266,6 +264,7 @@
   std::optional<std::int64_t> m_caller_remaining_ms;  ///< As the request says.
   /// Reply with a server error, delivered if the retry fails.
   std::optional<HttpReply> m_fallback;
+  bool m_may_overlap = false;
   bool m_finished = false;
 };
 
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -125,6 +125,7 @@
   if (m_rule == nullptr) {
     return if_none;
   }
+  m_may_overlap = MayOverlap(*m_rule, m_request);
   if (!ChooseService()) {
     return RefusalReason::kNoUpstream;
   }
