--- a/src/libyuccamast/http/caller_pipelining_test.cpp
+++ b/src/libyuccamast/http/caller_pipelining_test.cpp
@@ -31,10 +31,12 @@
     m_hooks.handle_call = [this](const CallerRequest& request,
                                  const std::function<void(CallerReply)>& done) {
       started.push_back(request.target);
+      m_requests.push_back(request);
       m_done.push_back(done);
       CallHandle handle;
       handle.on_caller_disconnect = [this, target = request.target] {
         cancelled.push_back(target);
+        m_requests.clear();
       };
       handle.may_overlap = request.method == "GET";
       return handle;
@@ -83,6 +85,7 @@
     HttpReply reply;
     reply.status = 200;
     reply.body = body;
+    m_requests.at(index) = {};
     m_done.at(index)({"id", std::move(reply)});
   }
 
@@ -127,6 +130,7 @@
   Metrics m_metrics;
   CallerHooks m_hooks;
   std::shared_ptr<CallerConnection> m_connection;
+  std::vector<CallerRequest> m_requests;  ///< Kept as long as the calls.
   std::vector<std::function<void(CallerReply)>> m_done;
   std::string m_received;
 };
@@ -150,11 +154,13 @@
   PipeliningCaller caller;
   caller.Send(Get("/1") + Get("/2") + Get("/3"));
   cr_assert_eq(caller.started, (Targets{"/1", "/2", "/3"}));
+  cr_expect_gt(caller.reserved(), 0U);
   caller.Answer(2, "third");
   caller.Answer(1, "second");
   cr_expect(caller.Received().empty());
   caller.Answer(0, "first");
   cr_expect(HasInOrder(caller.Received(), {"first", "second", "third"}));
+  cr_expect_eq(caller.reserved(), 0U);
 }
 
 // Guards against work for a caller that has left: its disconnect comes behind
