Order, displace and refuse calls by what it costs their callers

Cause: admission ranked by nesting, urgency, idempotence and objective. It did not weigh the work of a call, could starve a less urgent kind, relied on the estimate of the work, and held queued calls that could no longer reach their deadline.

Change: call_cost.h is the one measure (prospect; nesting; urgency; value for each unit of work in classes of a factor of two; objective). Admission uses it for the order of starts, for displacement and for refusals, and names the room that was short (log field `short` of offer_refused). EstimateCorrector follows work that differs from its estimate by a factor. Waits are estimated by list scheduling.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -4,11 +4,15 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "yuccamast/admission/call_cost.h"
+#include "yuccamast/admission/estimate_corrector.h"
 #include "yuccamast/admission/rate_limiter.h"
 #include "yuccamast/admission/slowdown_estimator.h"
+#include "yuccamast/admission/starvation_guard.h"
 #include "yuccamast/admission/vm_speed_tracker.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/config/configuration.h"
@@ -27,21 +31,20 @@
 /// has its full value. A call is late if it can't be expected to end by its
 /// objective any more. Calls in time always start before late ones, and a late
 /// call is refused if `max_queued_late` late calls are queued already. If the
-/// queue is full, a new call in time displaces a late call; if none is late, it
-/// displaces the last call, provided that this one has a lower rank by nesting
-/// and urgency. Without these rules, a queue longer than the objective would
-/// make every call late while the upstream stays fully loaded.
+/// queue is full, a new call in time displaces the late call that costs callers
+/// least; if none is late, it displaces the last call in the order below,
+/// provided that it differs from it by more than the objective. Without these
+/// rules, a queue longer than the objective would make every call late while
+/// the upstream stays fully loaded.
 ///
-/// Order among calls in time:
-/// 1. nested calls, because a slot of the calling upstream is held meanwhile;
-/// 2. lower `urgency` value;
-/// 3. non-idempotent calls;
-/// 4. earliest objective, or deadline for a call without an objective
-///    (earliest deadline first).
+/// Order among calls in time: nested calls, then calls of a kind that would
+/// starve (`StarvationGuard`), then by `RankOf` (urgency, value for each unit
+/// of work, earliest objective), see call_cost.h.
 ///
 /// A call without an objective counts as in time until its deadline. Every
 /// fourth start from the queue goes to the longest waiting of these, so that
-/// none starves.
+/// none starves. A queued call that cannot reach its deadline any more is
+/// refused at once.
 ///
 /// While other tenants of the host slow down the upstream's VM, a call is
 /// deferred, and its slot stays free, if it would end sooner when started after
@@ -90,12 +93,27 @@
   bool nested = false;        ///< Made while serving another call.
   /// Expected service time at the VM's normal speed; 0: unknown.
   Duration expected_service{};
+  /// Mean absolute deviation of the service time; 0: unknown.
+  Duration service_deviation{};
+  /// Kind of the call, for `StarvationGuard` and `EstimateCorrector`.
+  std::uint64_t kind = 0;
 };
 
 /// `kStart`: the call holds a slot now; `kQueued`: it waits until `StartNext`
 /// returns it; `kRefused`: it is not held and will not run.
 enum class AdmissionVerdict : std::uint8_t { kStart, kQueued, kRefused };
 
+/// The room that was short when a call was refused.
+enum class ShortRoom : std::uint8_t {
+  kNone,
+  kDeadline,     ///< No slot is expected in time for the deadline.
+  kLatePlaces,   ///< It would be late, and enough late calls are queued.
+  kQueuePlaces,  ///< The queue is full of calls that cost callers more.
+};
+
+/// Name as in logs, such as `late_places`.
+std::string_view NameOf(ShortRoom room);
+
 /// Result of `Admission::Offer`.
 struct AdmissionDecision {
   AdmissionVerdict verdict = AdmissionVerdict::kRefused;
@@ -103,6 +121,7 @@
   /// Queued call that was removed in favour of this one; the owner has to
   /// refuse it.
   std::optional<CallTicket> displaced;
+  ShortRoom short_room = ShortRoom::kNone;  ///< Only if refused.
 };
 
 /// A call removed from the queue, with the reason to refuse it for.
@@ -136,8 +155,9 @@
   std::optional<CallTicket> StartNext(TimePoint now);
 
   /// Removes and returns the queued calls whose deadline has passed
-  /// (`kDeadlineNotRun`), and those that are late or have no objective and
-  /// have waited for `queue_limit` (`kQueueTimeout`).
+  /// (`kDeadlineNotRun`), those that cannot reach it any more, and those that
+  /// are late or have no objective and have waited for `queue_limit`
+  /// (`kQueueTimeout`).
   std::vector<ExpiredCall> Expire(TimePoint now);
 
   /// Removes and returns all queued calls, in no particular order; for use
@@ -184,6 +204,12 @@
   /// the queue is empty.
   Duration ExpectedWait(TimePoint now) const;
 
+  /// Estimated time until the first queued call can start.
+  Duration ExpectedHeadWait(TimePoint now) const;
+
+  /// Whether a call that can only be late would be queued now.
+  bool TakesLate(TimePoint now) const;
+
   /// Time since the start of the oldest running short call; zero if none
   /// runs.
   Duration OldestShortAge(TimePoint now) const;
@@ -198,13 +224,13 @@
     TimePoint since;
     /// At the VM's speed when the call started; 0: unknown.
     Duration expected_service{};
+    std::uint64_t kind = 0;
+    Duration offered_estimate{};  ///< `AdmissionRequest::expected_service`.
   };
-  /// Sort key for the order in the file comment; smaller keys start first.
+  /// Sort key of the queue: the order in the file comment, except for starved
+  /// kinds, which depend on the time.
   struct QueueKey {
-    bool not_nested = true;
-    std::uint32_t urgency = 0;
-    bool idempotent = false;
-    TimePoint due;  ///< The objective; without one, the deadline.
+    CallRank rank;
     CallTicket ticket = 0;
     auto operator<=>(const QueueKey&) const = default;
   };
@@ -216,32 +242,44 @@
   /// Whether more slots are free than `late_reserved_slots` (as capped).
   bool HasSlotForLate() const;
   void OccupySlot(const AdmissionRequest& request, TimePoint now);
-  static QueueKey MakeQueueKey(const AdmissionRequest& request);
+  /// The traits of the call at the VM's present speed.
+  CallTraits TraitsOf(const AdmissionRequest& request) const;
+  QueueKey MakeQueueKey(const AdmissionRequest& request) const;
+  /// Whether the call with the first key and request starts before the other
+  /// one if both are in time.
+  bool StartsBefore(const QueueKey& key,
+                    std::uint64_t kind,
+                    const QueueKey& other,
+                    std::uint64_t other_kind,
+                    TimePoint now) const;
   /// Estimated time until a slot is free, and the rate limit permits the start,
-  /// for a call with `ahead` calls before it in the queue.
-  Duration EstimateWait(std::size_t ahead, TimePoint now) const;
-  /// The expected service time, or the mean of short calls if unknown.
+  /// for a call behind calls with the expected service times `ahead`.
+  Duration EstimateWait(const std::vector<Duration>& ahead,
+                        TimePoint now) const;
+  /// The corrected expected service time, or the mean of short calls if it is
+  /// unknown.
   Duration ExpectedService(const AdmissionRequest& request) const;
   /// Whether to start the call after the slow period: it then ends sooner
   /// and still before its deadline.
   bool IsDeferred(const AdmissionRequest& request, TimePoint now) const;
-  /// Whether the call can be expected to end before its deadline if it starts
-  /// after `wait`.
-  bool CanMeetDeadline(const AdmissionRequest& request,
-                       Duration wait,
-                       TimePoint now) const;
   /// Whether the call can be expected to miss its objective if it starts after
   /// `wait`; false without an objective.
   bool IsLate(const AdmissionRequest& request,
               Duration wait,
               TimePoint now) const;
-  /// Queued calls in time that sort before `key`.
-  std::size_t CountAhead(const QueueKey& key, TimePoint now) const;
+  /// Expected service times of the queued calls in time that start before a
+  /// call with `key` of the kind.
+  std::vector<Duration> ServicesAhead(const QueueKey& key,
+                                      std::uint64_t kind,
+                                      TimePoint now) const;
+  /// Expected service times of all queued calls.
+  std::vector<Duration> QueuedServices() const;
   std::size_t CountLate(TimePoint now) const;
-  /// The queued call that a call in time with `key` displaces: a late one,
-  /// else the last one if it has a lower rank than `key` by nesting and
-  /// urgency, else nothing. Precondition: the queue is not empty.
+  /// The queued call that a call in time with `key` displaces: the last late
+  /// one, else the last one if it costs callers less than `key`, else nothing.
+  /// Precondition: the queue is not empty.
   std::optional<CallTicket> FindDisplaceable(const QueueKey& key,
+                                             std::uint64_t kind,
                                              TimePoint now) const;
   AdmissionDecision Enqueue(const AdmissionRequest& request, TimePoint now);
   /// The queued call to start next; `end()` if none may start now.
@@ -252,6 +290,8 @@
 
   AdmissionLimits m_limits;
   RateLimiter m_rate_limiter;
+  StarvationGuard m_starvation_guard;
+  EstimateCorrector m_estimate_corrector;
   VmSpeed m_vm_speed;
   Queue m_queue;
   std::unordered_map<CallTicket, QueueKey> m_key_by_ticket;
--- a/include/yuccamast/admission/service_time_estimator.h
+++ b/include/yuccamast/admission/service_time_estimator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -12,8 +13,9 @@
 /// Learns the service time, the time that a call holds its slot, for each rule.
 ///
 /// Keeps an exponentially weighted moving average for each rule and one over
-/// all rules. The first samples of a rule are averaged with equal weights. A
-/// sample costs a lookup in a map of at most `kMaxRules` rules, O(log n).
+/// all rules, and for each rule that of the absolute deviation. The first
+/// samples of a rule are averaged with equal weights. A sample costs a lookup
+/// in a map of at most `kMaxRules` rules, O(log n).
 
 namespace yuccamast {
 
@@ -29,7 +31,7 @@
         // are not removed one by one.
         m_by_rule.clear();
       }
-      m_by_rule.emplace(rule, Average{service, 1});
+      m_by_rule.emplace(rule, Average{service, {}, 1});
       m_overall_mean =
           m_overall_mean == Duration::zero() ? service : m_overall_mean;
       return;
@@ -37,6 +39,9 @@
     Average& average = found->second;
     m_overall_mean += (service - m_overall_mean) / kEwmaWindow;
     average.samples = std::min(average.samples + 1, kEwmaWindow);
+    average.deviation +=
+        (std::chrono::abs(service - average.mean) - average.deviation) /
+        average.samples;
     average.mean += (service - average.mean) / average.samples;
   }
 
@@ -50,6 +55,13 @@
     return found == m_by_rule.end() ? Duration::zero() : found->second.mean;
   }
 
+  /// Mean absolute deviation for `rule`; zero if there is no sample of it.
+  Duration RuleDeviation(std::string_view rule) const {
+    const auto found = m_by_rule.find(rule);
+    return found == m_by_rule.end() ? Duration::zero()
+                                    : found->second.deviation;
+  }
+
  private:
   /// Weight of a new sample: at least one over this. Large, so that a mean
   /// covers much more than a slow period of the upstream, which is left to
@@ -60,6 +72,7 @@
 
   struct Average {
     Duration mean{};
+    Duration deviation{};
     int samples = 0;
   };
   std::map<std::string, Average, std::less<>> m_by_rule;
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -1,7 +1,8 @@
 #include "yuccamast/admission/admission.h"
 
 #include <algorithm>
-#include <tuple>
+#include <array>
+#include <functional>
 
 namespace yuccamast {
 
@@ -20,6 +21,12 @@
 
 }  // namespace
 
+std::string_view NameOf(ShortRoom room) {
+  constexpr std::array<std::string_view, 4> kNames = {
+      "none", "deadline", "late_places", "queue_places"};
+  return kNames.at(static_cast<std::size_t>(room));
+}
+
 bool Admission::HasSlot(WeightClass weight, TimePoint now) const {
   if (running() >= m_limits.slots ||
       m_rate_limiter.WaitFor(0, now) > Duration::zero()) {
@@ -36,25 +43,56 @@
 }
 
 void Admission::OccupySlot(const AdmissionRequest& request, TimePoint now) {
+  m_starvation_guard.OnStarted(request.kind, now);
   m_rate_limiter.Take(now);
   m_running[request.ticket] = {
       request.weight, now,
-      m_vm_speed.TimeIfStartedNow(ExpectedService(request))};
+      m_vm_speed.TimeIfStartedNow(ExpectedService(request)), request.kind,
+      request.expected_service};
   m_running_long += request.weight == WeightClass::kLong ? 1 : 0;
 }
 
-Admission::QueueKey Admission::MakeQueueKey(const AdmissionRequest& request) {
-  const bool has_objective = request.objective != TimePoint{};
-  return {!request.nested, request.urgency, request.idempotent,
-          has_objective ? request.objective : request.deadline, request.ticket};
+CallTraits Admission::TraitsOf(const AdmissionRequest& request) const {
+  return {request.urgency,
+          request.nested,
+          request.idempotent,
+          request.objective,
+          request.deadline,
+          m_vm_speed.TimeToComplete(ExpectedService(request)),
+          request.service_deviation};
+}
+
+Admission::QueueKey Admission::MakeQueueKey(
+    const AdmissionRequest& request) const {
+  CallTraits traits = TraitsOf(request);
+  // The rank is fixed while the call is queued, so it must not depend on the
+  // present speed.
+  traits.expected_service = ExpectedService(request);
+  return {RankOf(traits), request.ticket};
+}
+
+bool Admission::StartsBefore(const QueueKey& key,
+                             std::uint64_t kind,
+                             const QueueKey& other,
+                             std::uint64_t other_kind,
+                             TimePoint now) const {
+  if (key.rank.not_nested != other.rank.not_nested) {
+    return !key.rank.not_nested;
+  }
+  const bool starved = m_starvation_guard.IsStarved(kind, now);
+  const bool other_starved = m_starvation_guard.IsStarved(other_kind, now);
+  return starved != other_starved ? starved : key < other;
 }
 
 Duration Admission::ExpectedService(const AdmissionRequest& request) const {
-  return request.expected_service > Duration::zero() ? request.expected_service
-                                                     : m_mean_short_service;
+  return request.expected_service > Duration::zero()
+             ? m_estimate_corrector.Correct(request.kind,
+                                            request.expected_service)
+             : m_mean_short_service;
 }
 
-Duration Admission::EstimateWait(std::size_t ahead, TimePoint now) const {
+Duration Admission::EstimateWait(const std::vector<Duration>& ahead,
+                                 TimePoint now) const {
   std::vector<Duration> left;
   left.reserve(std::max<std::size_t>(m_limits.slots, m_running.size()));
   std::ranges::transform(
@@ -64,16 +102,18 @@
                         run.expected_service / kOverdueDivisor);
       });
   left.resize(std::max<std::size_t>(m_limits.slots, left.size()));
+  const Duration rate_wait = m_rate_limiter.WaitFor(ahead.size(), now);
   if (left.empty()) {
-    return m_rate_limiter.WaitFor(ahead, now);
+    return rate_wait;
   }
-  std::ranges::sort(left);
-  // The k-th slot to become free takes the k-th waiting call, and each slot is
-  // free again one mean service time later.
-  const auto full_rounds = static_cast<std::int64_t>(ahead / left.size());
-  return std::max(
-      left[ahead % left.size()] + m_mean_short_service * full_rounds,
-      m_rate_limiter.WaitFor(ahead, now));
+  // List scheduling: each call takes the slot that is free first.
+  std::ranges::make_heap(left, std::ranges::greater{});
+  std::ranges::for_each(ahead, [&](Duration service) {
+    std::ranges::pop_heap(left, std::ranges::greater{});
+    left.back() += service;
+    std::ranges::push_heap(left, std::ranges::greater{});
+  });
+  return std::max(left.front(), rate_wait);
 }
 
 SlowdownEstimator::RunningSample Admission::SampleRunning(TimePoint now) const {
@@ -89,14 +129,16 @@
 Duration Admission::ExpectedWait(TimePoint now) const {
   const bool has_free_slot =
       m_queue.empty() && HasSlot(WeightClass::kShort, now);
-  return has_free_slot ? Duration::zero() : EstimateWait(m_queue.size(), now);
+  return has_free_slot ? Duration::zero() : EstimateWait(QueuedServices(), now);
 }
 
-bool Admission::CanMeetDeadline(const AdmissionRequest& request,
-                                Duration wait,
-                                TimePoint now) const {
-  const Duration service = m_vm_speed.TimeToComplete(ExpectedService(request));
-  return now + wait + service < request.deadline;
+Duration Admission::ExpectedHeadWait(TimePoint now) const {
+  return EstimateWait({}, now);
+}
+
+bool Admission::TakesLate(TimePoint now) const {
+  return queued() < m_limits.queue_length &&
+         CountLate(now) < m_limits.max_queued_late;
 }
 
 bool Admission::IsDeferred(const AdmissionRequest& request,
@@ -110,16 +152,29 @@
                        Duration wait,
                        TimePoint now) const {
   return request.objective != TimePoint{} &&
-         now + wait + m_vm_speed.TimeToComplete(ExpectedService(request)) >
-             request.objective;
+         ProspectOf(TraitsOf(request), wait, now) != Prospect::kInTime;
 }
 
-std::size_t Admission::CountAhead(const QueueKey& key, TimePoint now) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(m_queue, [&](const auto& item) {
-        return item.first < key &&
-               !IsLate(item.second.request, Duration::zero(), now);
-      }));
+std::vector<Duration> Admission::ServicesAhead(const QueueKey& key,
+                                               std::uint64_t kind,
+                                               TimePoint now) const {
+  std::vector<Duration> services;
+  std::ranges::for_each(m_queue, [&](const auto& item) {
+    const AdmissionRequest& queued = item.second.request;
+    if (StartsBefore(item.first, queued.kind, key, kind, now) &&
+        !IsLate(queued, Duration::zero(), now)) {
+      services.push_back(ExpectedService(queued));
+    }
+  });
+  return services;
+}
+
+std::vector<Duration> Admission::QueuedServices() const {
+  std::vector<Duration> services;
+  std::ranges::transform(
+      m_queue, std::back_inserter(services),
+      [&](const auto& item) { return ExpectedService(item.second.request); });
+  return services;
 }
 
 std::size_t Admission::CountLate(TimePoint now) const {
@@ -130,39 +185,59 @@
 }
 
 std::optional<CallTicket> Admission::FindDisplaceable(const QueueKey& key,
+                                                      std::uint64_t kind,
                                                       TimePoint now) const {
-  const auto late = std::ranges::find_if(m_queue, [&](const auto& item) {
-    return IsLate(item.second.request, Duration::zero(), now);
-  });
-  if (late != m_queue.end()) {
-    return late->first.ticket;
+  std::optional<CallTicket> late;
+  auto last = m_queue.begin();
+  for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
+    const std::uint64_t last_kind = last->second.request.kind;
+    if (IsLate(it->second.request, Duration::zero(), now)) {
+      late = it->first.ticket;
+    } else if (StartsBefore(last->first, last_kind, it->first,
+                            it->second.request.kind, now)) {
+      last = it;
+    }
   }
-  // A call of the same rank is never displaced, only one of a lower rank.
-  const QueueKey& last = std::prev(m_queue.end())->first;
-  const bool has_higher_rank = std::tie(key.not_nested, key.urgency) <
-                               std::tie(last.not_nested, last.urgency);
-  return has_higher_rank ? std::optional(last.ticket) : std::nullopt;
+  if (late) {
+    return late;
+  }
+  const CallRank& last_rank = last->first.rank;
+  const bool starved = m_starvation_guard.IsStarved(kind, now);
+  const bool last_starved =
+      m_starvation_guard.IsStarved(last->second.request.kind, now);
+  const bool same_nesting = key.rank.not_nested == last_rank.not_nested;
+  const bool displaces = same_nesting && starved != last_starved
+                             ? starved
+                             : key.rank.Displaces(last_rank);
+  return displaces ? std::optional(last->first.ticket) : std::nullopt;
 }
 
 AdmissionDecision Admission::Enqueue(const AdmissionRequest& request,
                                      TimePoint now) {
   const QueueKey key = MakeQueueKey(request);
-  const Duration wait = EstimateWait(CountAhead(key, now), now);
+  const Duration wait =
+      EstimateWait(ServicesAhead(key, request.kind, now), now);
   const bool late = IsLate(request, wait, now);
   const Duration effective_wait =
-      late ? EstimateWait(m_queue.size(), now) : wait;
-  const AdmissionDecision refused{AdmissionVerdict::kRefused,
-                                  RefusalReason::kQueueFull, std::nullopt};
-  if (!CanMeetDeadline(request, effective_wait, now) ||
-      (late && CountLate(now) >= m_limits.max_queued_late)) {
-    return refused;
+      late ? EstimateWait(QueuedServices(), now) : wait;
+  const auto refuse = [](ShortRoom room) {
+    return AdmissionDecision{AdmissionVerdict::kRefused,
+                             RefusalReason::kQueueFull, std::nullopt, room};
+  };
+  if (ProspectOf(TraitsOf(request), effective_wait, now) ==
+      Prospect::kUseless) {
+    return refuse(ShortRoom::kDeadline);
+  }
+  if (late && CountLate(now) >= m_limits.max_queued_late) {
+    return refuse(ShortRoom::kLatePlaces);
   }
   AdmissionDecision decision{AdmissionVerdict::kQueued, {}, std::nullopt};
   if (queued() >= m_limits.queue_length) {
-    decision.displaced =
-        late || m_queue.empty() ? std::nullopt : FindDisplaceable(key, now);
+    decision.displaced = late || m_queue.empty()
+                             ? std::nullopt
+                             : FindDisplaceable(key, request.kind, now);
     if (!decision.displaced) {
-      return refused;
+      return refuse(ShortRoom::kQueuePlaces);
     }
     Remove(*decision.displaced);
   }
@@ -174,8 +249,12 @@
 AdmissionDecision Admission::Offer(const AdmissionRequest& request,
                                    TimePoint now) {
   if (request.deadline <= now) {
-    return {AdmissionVerdict::kRefused, RefusalReason::kDeadlineNotRun, {}};
+    return {AdmissionVerdict::kRefused,
+            RefusalReason::kDeadlineNotRun,
+            {},
+            ShortRoom::kDeadline};
   }
+  m_starvation_guard.OnOffered(request.kind, now);
   const bool slot_permitted =
       !IsLate(request, Duration::zero(), now) || HasSlotForLate();
   // Queued calls that can't start now, for example long or deferred ones, may
@@ -196,6 +275,10 @@
   }
   const bool is_short = running->second.weight == WeightClass::kShort;
   m_running_long -= is_short ? 0 : 1;
+  if (service) {
+    m_estimate_corrector.OnEnded(running->second.kind,
+                                 running->second.offered_estimate, *service);
+  }
   m_running.erase(running);
   if (is_short && service) {
     m_mean_short_service =
@@ -241,10 +324,16 @@
     return HasSlot(item.second.request.weight, now) &&
            !IsDeferred(item.second.request, now);
   };
-  const auto in_time = std::ranges::find_if(m_queue, [&](const auto& item) {
-    return can_start(item) &&
-           !IsLate(item.second.request, Duration::zero(), now);
-  });
+  auto in_time = m_queue.end();
+  for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
+    const AdmissionRequest& request = it->second.request;
+    if (can_start(*it) && !IsLate(request, Duration::zero(), now) &&
+        (in_time == m_queue.end() ||
+         StartsBefore(it->first, request.kind, in_time->first,
+                      in_time->second.request.kind, now))) {
+      in_time = it;
+    }
+  }
   if (in_time != m_queue.end() || !HasSlotForLate()) {
     return in_time;
   }
@@ -275,6 +364,9 @@
                (waiting.request.objective == TimePoint{} ||
                 IsLate(waiting.request, Duration::zero(), now))) {
       expired.push_back({waiting.request.ticket, RefusalReason::kQueueTimeout});
+    } else if (ProspectOf(TraitsOf(waiting.request), Duration::zero(), now) ==
+               Prospect::kUseless) {
+      expired.push_back({waiting.request.ticket, RefusalReason::kQueueTimeout});
     }
   });
   std::ranges::for_each(
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -209,9 +209,11 @@
   request.nested = call->offer.nested;
   request.expected_service = Scale(m_service_times.RuleMean(call->offer.rule),
                                    std::max(1.0, EstimateSlowdown(now)));
+  request.service_deviation = m_service_times.RuleDeviation(call->offer.rule);
+  request.kind = std::hash<std::string>{}(call->offer.rule);
   const AdmissionDecision decision = m_admission.Offer(request, now);
   if (decision.verdict == AdmissionVerdict::kRefused) {
-    LogRefusedOffer(call->offer, decision.reason);
+    LogRefusedOffer(call->offer, decision.reason, decision.short_room);
     AnswerRefusal(call->responder, decision.reason);
     return;
   }
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -170,7 +170,9 @@
   /// non-idempotent run.
   void OnDeadline(const CallPtr& call);
   void StartQueued();
-  void LogRefusedOffer(const OfferMessage& offer, RefusalReason reason) const;
+  void LogRefusedOffer(const OfferMessage& offer,
+                       RefusalReason reason,
+                       ShortRoom short_room = ShortRoom::kNone) const;
   void LogCallEvent(const Call& call,
                     LogEvent event,
                     std::string_view reason) const;
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -40,7 +40,8 @@
 }
 
 void ExitCalls::LogRefusedOffer(const OfferMessage& offer,
-                                RefusalReason reason) const {
+                                RefusalReason reason,
+                                ShortRoom short_room) const {
   if (!TakeLogToken(LogClass::kDecision)) {
     return;
   }
@@ -51,6 +52,7 @@
        {"upstream", offer.upstream},
        {"named", m_reported_upstream},
        {"reason", InfoOf(reason).name},
+       {"short", NameOf(short_room)},
        {"running", m_admission.running()},
        {"queued", m_admission.queued()},
        {"slots", m_admission.limits().slots},
