Refuse at the entry what no exit would take, and send work where room is

Cause: an entry learned only by up to four offers that no exit had room, told refused callers to come back after a random 0.1 to 0.5 s, and awaited far exits for 8 ms, less than they take to answer from 3.9 ms away with a reading of their upstream; after five late answers they counted as unresponsive, so a crest stayed in its data centre.

Change: load reports name the wait by rank (nested, urgency 0 and 1) and whether a late call would be queued. AssessRoom tells from fresh reports of the queried exits what room there is for a call; if there is none, the call is refused as no_room without an offer. Retry-After follows the expected wait, spread over the time in which the refused calls can be served. Load queries are awaited by the measured round trip, more exits of the own data centre are queried before far ones, and the network delay counts four times. call_refused logs what room was seen and the age of that news.

--- a/include/yuccamast/admission/admission.h
+++ b/include/yuccamast/admission/admission.h
@@ -204,8 +204,12 @@
   /// the queue is empty.
   Duration ExpectedWait(TimePoint now) const;
 
-  /// Estimated time until the first queued call can start.
-  Duration ExpectedHeadWait(TimePoint now) const;
+  /// The same for a call that goes before less urgent ones: behind the queued
+  /// nested calls only, or behind those and the ones of its urgency or a more
+  /// urgent one.
+  Duration ExpectedWait(bool nested,
+                        std::uint32_t urgency,
+                        TimePoint now) const;
 
   /// Whether a call that can only be late would be queued now.
   bool TakesLate(TimePoint now) const;
--- a/include/yuccamast/balance/load_report.h
+++ b/include/yuccamast/balance/load_report.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <vector>
 
 /// \file load_report.h
 /// Load of an upstream as reported by the exit beside it, with every answer and
@@ -13,6 +16,15 @@
 
 namespace yuccamast {
 
+/// Number of ranks of calls whose wait a report names besides `wait_us`.
+inline constexpr std::size_t kWaitRanks = 3;
+
+/// Rank by which the wait of a call is reported: 0 for nested calls, 1 and 2
+/// for the urgencies 0 and 1; `kWaitRanks` for others, which go by `wait_us`.
+inline std::size_t WaitRankOf(bool nested, std::uint32_t urgency) {
+  return nested ? 0 : std::min<std::size_t>(urgency + 1U, kWaitRanks);
+}
+
 /// Message format: an array in the order of `MSGPACK_DEFINE`.
 struct LoadReport {
   std::uint64_t boot_id = 0;  ///< Identifies the exit's process.
@@ -32,6 +44,10 @@
   /// the upstream; 100 is normal.
   std::uint32_t slowness = 100;
   std::uint32_t slow_remaining_us = 0;  ///< Expected; 0: no slow period.
+  /// Expected time in the queue of a new call that goes before less urgent
+  /// ones, by `WaitRankOf`; empty: only `wait_us` is known.
+  std::vector<std::uint32_t> rank_wait_us;
+  bool takes_late = true;  ///< A call that can only be late would be queued.
 
   MSGPACK_DEFINE(boot_id,
                  running,
@@ -42,7 +58,9 @@
                  leaving,
                  wait_us,
                  slowness,
-                 slow_remaining_us)
+                 slow_remaining_us,
+                 rank_wait_us,
+                 takes_late)
 };
 
 }  // namespace yuccamast
--- a/include/yuccamast/balance/policy.h
+++ b/include/yuccamast/balance/policy.h
@@ -41,6 +41,10 @@
   Duration distance{};                   ///< Network round-trip time to it.
 };
 
+/// Network round-trip time to the candidate: the configured distance, or the
+/// time that its exit takes to answer a load query if that is longer.
+Duration NetworkDelay(const Candidate& candidate);
+
 /// Source of uniformly distributed 64-bit random numbers.
 using RandomHook = std::function<std::uint64_t()>;
 
--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <array>
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 
 #include "yuccamast/balance/load_report.h"
@@ -48,6 +50,8 @@
   /// Expected service time of the call; zero: the upstream's reported mean.
   /// Used only with a fresh report.
   Duration expected_service{};
+  /// Rank of the call by which its wait is looked up, see `WaitRankOf`.
+  std::size_t wait_rank = kWaitRanks;
 };
 
 /// Result of an attempt, as far as it affects the estimate.
@@ -79,6 +83,19 @@
   /// A load query was sent to the exit; the next report counts as its answer.
   void OnLoadQuerySent() { m_unanswered.fetch_add(1, kRelaxed); }
 
+  /// A load query was answered after `took`, also if nothing waited for it any
+  /// more. The exit does not count as unresponsive if that is at most
+  /// `kMaxQueryTime`.
+  void OnLoadQueryAnswered(Duration took);
+  /// Shortest recent time from a load query to its answer; zero before the
+  /// first one.
+  Duration query_round_trip() const {
+    return Duration(m_query_round_trip.load(kRelaxed));
+  }
+
+  /// Longest time that a load query is worth waiting for.
+  static constexpr Duration kMaxQueryTime = std::chrono::milliseconds(20);
+
   /// Whether more than `kMaxUnanswered` load queries in a row were not
   /// answered.
   bool unresponsive() const {
@@ -98,6 +115,12 @@
   /// there must be no recent failures.
   bool HasSpareSlot(TimePoint now, const EstimateOptions& options) const;
 
+  /// Expected wait of a call of the rank: as last reported, plus the calls that
+  /// this node has sent since, each of `service`, if no slot is free.
+  Duration WaitWithOwnSends(std::size_t wait_rank, Duration service) const;
+  /// Whether, as last reported, a call that can only be late would be queued.
+  bool takes_late() const { return m_takes_late.load(kRelaxed); }
+
   /// Calls of other nodes in flight as of the last report: its total minus the
   /// own calls at that time, at least zero.
   double OthersInFlight() const;
@@ -168,6 +191,9 @@
   std::atomic<double> m_failures{0};
   std::atomic<std::int64_t> m_failed_at{0};  ///< Clock ticks.
   std::atomic<std::uint32_t> m_wait_us{0};
+  std::array<std::atomic<std::uint32_t>, kWaitRanks> m_rank_wait_us{};
+  std::atomic<bool> m_takes_late{true};
+  std::atomic<std::int64_t> m_query_round_trip{0};  ///< Clock ticks.
   std::atomic<std::uint32_t> m_slowness{100};
   std::atomic<std::uint32_t> m_slow_remaining_us{0};
   std::atomic<std::uint32_t> m_sent_since_report{0};
--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -59,6 +59,8 @@
   kTooManyConnections,
   /// The reply came from another upstream, which did not run the request.
   kMisdirected,
+  /// By fresh reports no queried exit would take the call; it was not offered.
+  kNoRoom,
 };
 
 /// Properties of a reason.
@@ -74,7 +76,7 @@
 };
 
 /// Number of enumerators of `RefusalReason`.
-inline constexpr std::size_t kRefusalReasonCount = 29;
+inline constexpr std::size_t kRefusalReasonCount = 30;
 
 /// The table of reasons, indexed by their values.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -132,8 +132,20 @@
   return has_free_slot ? Duration::zero() : EstimateWait(QueuedServices(), now);
 }
 
-Duration Admission::ExpectedHeadWait(TimePoint now) const {
-  return EstimateWait({}, now);
+Duration Admission::ExpectedWait(bool nested,
+                                 std::uint32_t urgency,
+                                 TimePoint now) const {
+  if (m_queue.empty()) {
+    return ExpectedWait(now);
+  }
+  std::vector<Duration> ahead;
+  std::ranges::for_each(m_queue, [&](const auto& item) {
+    const CallRank& rank = item.first.rank;
+    if (!rank.not_nested || (!nested && rank.urgency <= urgency)) {
+      ahead.push_back(ExpectedService(item.second.request));
+    }
+  });
+  return EstimateWait(ahead, now);
 }
 
 bool Admission::TakesLate(TimePoint now) const {
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -15,6 +15,11 @@
 /// still receives a few calls by which its recovery is noticed.
 constexpr std::uint64_t kRecoveryProbeInterval = 64;
 
+/// Weight of the network delay against waiting and running. A call takes more
+/// than one round trip, and its body and reply use the links twice, so another
+/// data centre has to be better by more than the delay.
+constexpr int kDelayWeight = 4;
+
 /// One choice: implements the policies of `Choose`. References its arguments.
 class Chooser {
  public:
@@ -99,7 +104,7 @@
     if (m_random() % kRecoveryProbeInterval == 0) {
       options.failure_penalty = Duration::zero();
     }
-    return candidate.distance +
+    return kDelayWeight * NetworkDelay(candidate) +
            candidate.state->EstimateCost(
                m_context.now, m_context.prior_others_in_flight, options);
   }
@@ -147,6 +152,10 @@
 
 }  // namespace
 
+Duration NetworkDelay(const Candidate& candidate) {
+  return std::max(candidate.distance, candidate.state->query_round_trip());
+}
+
 std::optional<std::size_t> Choose(PolicyKind kind,
                                   std::span<const Candidate> candidates,
                                   std::span<const std::size_t> excluded,
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -68,6 +68,13 @@
   m_service_us.store(report.service_us, kRelaxed);
   m_oldest_short_us.store(report.oldest_short_us, kRelaxed);
   m_wait_us.store(report.wait_us, kRelaxed);
+  for (std::size_t rank = 0; rank < kWaitRanks; ++rank) {
+    m_rank_wait_us.at(rank).store(rank < report.rank_wait_us.size()
+                                      ? report.rank_wait_us[rank]
+                                      : report.wait_us,
+                                  kRelaxed);
+  }
+  m_takes_late.store(report.takes_late, kRelaxed);
   m_slowness.store(report.slowness, kRelaxed);
   m_slow_remaining_us.store(report.slow_remaining_us, kRelaxed);
   m_sent_since_report.store(0, kRelaxed);
@@ -78,6 +85,33 @@
   }
 }
 
+void UpstreamState::OnLoadQueryAnswered(Duration took) {
+  if (took <= kMaxQueryTime) {
+    m_unanswered.store(0, kRelaxed);
+  }
+  // Follows a shorter time at once and a longer one slowly, since single
+  // answers are delayed by load.
+  constexpr std::int64_t kRiseWindow = 64;
+  const std::int64_t known = m_query_round_trip.load(kRelaxed);
+  const std::int64_t sample = took.count();
+  m_query_round_trip.store(known == 0 || sample < known
+                               ? sample
+                               : known + (sample - known) / kRiseWindow,
+                           kRelaxed);
+}
+
+Duration UpstreamState::WaitWithOwnSends(std::size_t wait_rank,
+                                         Duration service) const {
+  const double limit = std::max<std::uint32_t>(m_limit.load(kRelaxed), 1);
+  const double sent = m_sent_since_report.load(kRelaxed);
+  const bool full = m_reported_in_flight.load(kRelaxed) + sent + 1 > limit;
+  const std::uint32_t reported_us =
+      wait_rank < kWaitRanks ? m_rank_wait_us.at(wait_rank).load(kRelaxed)
+                             : m_wait_us.load(kRelaxed);
+  return std::chrono::microseconds(reported_us) +
+         (full ? Scale(service, sent / limit) : Duration::zero());
+}
+
 bool UpstreamState::IsLeaving(TimePoint now) const {
   const std::int64_t at = m_reported_leaving_at.load(kRelaxed);
   const bool reported = at != 0 && now - FromTicks(at) < kReportedLeavingTtl;
@@ -199,14 +233,7 @@
   const double utilization =
       (m_reported_in_flight.load(kRelaxed) + sent_since_report + 1.0) / limit;
   const Duration work = ExpectedServiceTime(options);
-  const Duration reported_wait =
-      std::chrono::microseconds(m_wait_us.load(kRelaxed));
-  // Without a free slot, the calls that this node has sent since the report are
-  // queued before this one.
-  const Duration wait =
-      reported_wait + (utilization > 1.0
-                           ? Scale(work, sent_since_report / limit)
-                           : Duration::zero());
+  const Duration wait = WaitWithOwnSends(options.wait_rank, work);
   return std::max(wait + work,
                   Scale(work, 1.0 + ContentionFactor(utilization)));
 }
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -315,7 +315,7 @@
   } else {
     const auto reason = std::get<RefusalReason>(reply.result);
     m_metrics.AddRefusal(reason);
-    Write(BuildRefusal(reason, reply.call_id), close);
+    Write(BuildRefusal(reason, reply.call_id, reply.retry_after), close);
   }
 }
 
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -60,6 +60,9 @@
 struct CallerReply {
   std::string call_id;  ///< Value of `Yuccamast-Call-Id`; may be empty.
   std::variant<HttpReply, RefusalReason> result;
+  /// Value for the `Retry-After` field of a refusal, instead of that of
+  /// `CallerHooks::retry_after`.
+  std::optional<Duration> retry_after = std::nullopt;
 };
 
 /// Limits of the callers' connections.
@@ -104,7 +107,7 @@
   std::function<bool()> leaving;
   /// Called once, when the connection was closed. The owner may release it.
   std::function<void(CallerConnection*)> on_closed;
-  /// Value for the `Retry-After` field of a refusal.
+  /// Value for the `Retry-After` field of a refusal that names none.
   std::function<Duration()> retry_after;
   /// Current limits; read again for each request.
   std::function<CallerLimits()> limits;
@@ -171,7 +174,9 @@
   void OnWritten(const boost::system::error_code& error, bool close);
   void RefuseReadError(const boost::system::error_code& error);
   void Refuse(RefusalReason reason);
-  Response BuildRefusal(RefusalReason reason, const std::string& call_id);
+  Response BuildRefusal(RefusalReason reason,
+                        const std::string& call_id,
+                        std::optional<Duration> retry_after = std::nullopt);
   Response BuildReply(HttpReply reply, const std::string& call_id);
   std::optional<RefusalReason> ValidateHead() const;
   void Close();
--- a/src/libyuccamast/http/caller_reply.cpp
+++ b/src/libyuccamast/http/caller_reply.cpp
@@ -46,7 +46,8 @@
 
 CallerConnection::Response CallerConnection::BuildRefusal(
     RefusalReason reason,
-    const std::string& call_id) {
+    const std::string& call_id,
+    std::optional<Duration> retry_after) {
   const RefusalInfo& info = InfoOf(reason);
   Response response;
   response.version(m_http_version);
@@ -64,7 +65,7 @@
                          {"reason", info.name},
                          {"call_id", call_id}};
   if (info.retry_after) {
-    const Duration wait = m_hooks.retry_after();
+    const Duration wait = retry_after ? *retry_after : m_hooks.retry_after();
     response.set(http::field::retry_after, m_dialect.retry_after(wait));
     body.push_back(
         {"retry_after_ms",
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -120,6 +120,7 @@
   choice.now = now;
   choice.round_robin_turn = m_context.call_count;
   choice.queried = m_queried;
+  choice.options = OptionsOfCall();
   choice.prior_others_in_flight = SamplePrior(m_service->candidates, random);
   const auto member = Choose(m_service->service.policy, m_service->candidates,
                              m_tried, choice, random);
@@ -167,7 +168,7 @@
   const TimePoint due = m_objective != TimePoint{} ? m_objective : m_deadline;
   const Candidate& candidate = m_service->candidates[member];
   return now + candidate.distance +
-             candidate.state->EstimateCost(now, 0, EstimateOptions{}) <
+             candidate.state->EstimateCost(now, 0, OptionsOfCall()) <
          due;
 }
 
@@ -412,6 +413,7 @@
     m_context.metrics.Record(Latency::kAdded, elapsed - time_at_exit);
   }
   m_state.TransitionTo(CallStep::kAnswered);
+  ServiceRefusals().OnServed();
   if (reply.status >= kFirstServerErrorStatus) {
     RecordCallerFailure();
   }
@@ -450,10 +452,11 @@
   }
   LogDecision(LogLevel::kWarning, LogEvent::kCallRefused, InfoOf(reason).name,
               NameOf(InfoOf(reason).run_outcome));
+  const std::optional<Duration> retry_after = CountRefusal(reason);
   const Done done = std::move(m_done);
   m_done = nullptr;
   Finish();
-  done({m_id, reason});
+  done({m_id, reason, retry_after});
 }
 
 void EntryCall::Finish() {
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -20,6 +20,8 @@
 #include "node/running_call_ids.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
+#include "yuccamast/balance/retry_after.h"
+#include "yuccamast/balance/room.h"
 #include "yuccamast/outcome/call_state_machine.h"
 
 /// \file entry_call.h
@@ -96,6 +98,8 @@
   std::function<TimePoint()> admit_until;
   /// Ids of the calls that run at the upstream beside this node.
   const RunningCallIds* running_call_ids = nullptr;
+  /// Refusals for want of room, by name of the service.
+  std::map<std::string, RefusalShare, std::less<>> refusals{};
 };
 
 /// Use from the entry's thread only. Must be owned by a shared_ptr.
@@ -157,8 +161,8 @@
   /// Queries exits for their load if that is on, then offers the call.
   /// `if_none` is the reason to refuse with if no upstream is left.
   void QueryLoadAndOffer(RefusalReason if_none);
-  /// Queries exits of any data centre if no queried one has a spare slot, then
-  /// offers the call.
+  /// Queries more exits, also of other data centres, if no queried one has a
+  /// spare slot, then offers the call.
   void QueryFurtherExits(RefusalReason if_none);
   void QueryLoad(const std::vector<LoadQueryTarget>& targets,
                  std::function<void()> then);
@@ -169,6 +173,18 @@
   std::vector<LoadQueryTarget> SelectQueryTargets(bool near_only,
                                                   std::size_t max_count);
   bool AnyQueriedHasSpareSlot() const;
+  /// Offers the call if a queried exit may take it. If none does so in time,
+  /// queries a few more first; if none does at all, refuses the call.
+  void OfferIfRoom(RefusalReason if_none, bool may_query);
+  /// Assesses the queried exits for this call, see balance/room.h.
+  RoomAssessment AssessQueried(double margin) const;
+  /// Estimates for this call, with the wait of its rank.
+  EstimateOptions OptionsOfCall() const;
+  /// Of this thread, for the chosen service.
+  RefusalShare& ServiceRefusals() const;
+  /// Counts a refusal for want of room and returns when the caller may come
+  /// back; nothing for other refusals.
+  std::optional<Duration> CountRefusal(RefusalReason reason);
 
   /// Chooses an upstream that was not tried yet and offers the call to it.
   /// `if_none` is the reason of the last refusal, or `kNoUpstream` without one.
@@ -249,6 +265,7 @@
   bool m_nested = false;
   bool m_ancestor_is_retry = false;  ///< A call above this one is a retry.
   bool m_may_have_run = false;       ///< Because of an earlier offer.
+  RoomAssessment m_room;             ///< The last one of the queried exits.
   std::optional<std::int64_t> m_caller_remaining_ms;  ///< As the request says.
   /// Reply with a server error, delivered if the retry fails.
   std::optional<HttpReply> m_fallback;
--- a/src/libyuccamast/node/entry_report.cpp
+++ b/src/libyuccamast/node/entry_report.cpp
@@ -51,6 +51,10 @@
         offered && m_attempt.report_age != Duration::max()
             ? static_cast<std::int64_t>(ToMicroseconds(m_attempt.report_age))
             : -1},
+       {"room", NameOf(m_room.room)},
+       {"room_wait_us", ToMicroseconds(m_room.expected_wait)},
+       {"room_reports", m_room.fresh_reports},
+       {"room_age_us", ToMicroseconds(m_room.oldest_report)},
        {"budget",
         m_service == nullptr ? 0.0 : m_service->retry_budget->tokens()}});
 }
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -24,6 +24,14 @@
   report.leaving = leaving();
   report.wait_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_admission.ExpectedWait(Clock::now())));
+  report.rank_wait_us = {
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(true, 0, now))),
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(false, 0, now))),
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(false, 1, now)))};
+  report.takes_late = m_admission.TakesLate(now);
   report.slowness = m_vm_speed.slowness_percent();
   report.slow_remaining_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_vm_speed.At(Clock::now()).slow_remaining));
--- a/src/libyuccamast/node/load_query.cpp
+++ b/src/libyuccamast/node/load_query.cpp
@@ -31,6 +31,9 @@
   MSGPACK_DEFINE(round, target_index, load)
 };
 
+/// Time for which a round still notices late answers.
+constexpr Duration kLateAnswerTime = std::chrono::milliseconds(60);
+
 }  // namespace
 
 /// The queries of one invocation of `Query`.
@@ -41,6 +44,7 @@
   std::vector<LoadQueryTarget> targets;
   std::vector<bool> answered;
   std::vector<bool> awaited;
+  TimePoint sent_at;
   boost::asio::steady_timer timer;
   std::function<void()> done;
 };
@@ -69,6 +73,7 @@
   round->targets = targets;
   round->answered.resize(targets.size());
   round->done = std::move(done);
+  round->sent_at = Clock::now();
   m_rounds[round->number] = round;
   for (std::uint32_t target_index = 0; target_index < targets.size();
        ++target_index) {
@@ -97,8 +102,17 @@
 }
 
 void LoadQueryClient::Finish(const std::shared_ptr<Round>& round) {
-  m_rounds.erase(round->number);
   round->timer.cancel();
+  if (std::ranges::find(round->answered, false) == round->answered.end()) {
+    m_rounds.erase(round->number);
+  } else {
+    round->timer.expires_after(kLateAnswerTime);
+    round->timer.async_wait([this, round](const error_code& error) {
+      if (!error) {
+        m_rounds.erase(round->number);
+      }
+    });
+  }
   if (const auto done = std::exchange(round->done, nullptr)) {
     done();
   }
@@ -127,14 +141,21 @@
   const auto found = m_rounds.find(response->round);
   const auto round = found == m_rounds.end() ? nullptr : found->second.lock();
   if (round == nullptr || response->target_index >= round->targets.size()) {
-    return;  // Too late (the round has ended), or a wrong index.
+    return;  // Far too late, or a wrong index.
   }
   const LoadQueryTarget& target = round->targets[response->target_index];
   if (target.exit != m_sender || round->answered[response->target_index]) {
     return;
   }
   round->answered[response->target_index] = true;
-  target.state->OnReport(response->load, Clock::now());
+  const TimePoint now = Clock::now();
+  target.state->OnLoadQueryAnswered(now - round->sent_at);
+  if (!round->done) {
+    // The choice was made without this report, and calls may have been sent
+    // since that it does not count.
+    return;
+  }
+  target.state->OnReport(response->load, now);
   bool pending = false;
   for (std::size_t i = 0; i < round->targets.size(); ++i) {
     pending = pending || (round->awaited[i] && !round->answered[i]);
--- a/src/libyuccamast/node/load_query.h
+++ b/src/libyuccamast/node/load_query.h
@@ -25,7 +25,8 @@
 /// per call does not grow with the fleet: only a few candidates are queried.
 ///
 /// Datagrams are not repeated. A round ends when every awaited exit has
-/// answered or its time limit is over; answers that arrive later are dropped.
+/// answered or its time limit is over. Answers that arrive later only tell how
+/// long the exit takes to answer, by which callers set the next limit.
 /// An exit that left several queries in a row unanswered
 /// (`UpstreamState::unresponsive`) is queried but not awaited, and unanswered
 /// queries raise its estimated cost in the choice.
--- a/src/libyuccamast/outcome/refusal.cpp
+++ b/src/libyuccamast/outcome/refusal.cpp
@@ -44,6 +44,7 @@
     {R::kTooManyConnections, "too_many_connections", 503, kNotRun, true, false,
      false},
     {R::kMisdirected, "misdirected", 503, kNotRun, true, true, true},
+    {R::kNoRoom, "no_room", 503, kNotRun, true, false, false},
 }};
 
 const RefusalInfo& InfoOf(RefusalReason reason) {
