--- a/include/yuccamast/balance/load_report.h
+++ b/include/yuccamast/balance/load_report.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <vector>
 
 /// \file load_report.h
 /// Load of an upstream as reported by the exit beside it, with every answer and
@@ -13,6 +16,15 @@
 
 namespace yuccamast {
 
+/// Number of ranks of calls whose wait a report names besides `wait_us`.
+inline constexpr std::size_t kWaitRanks = 3;
+
+/// Rank by which the wait of a call is reported: 0 for nested calls, 1 and 2
+/// for the urgencies 0 and 1; `kWaitRanks` for others, which go by `wait_us`.
+inline std::size_t WaitRankOf(bool nested, std::uint32_t urgency) {
+  return nested ? 0 : std::min<std::size_t>(urgency + 1U, kWaitRanks);
+}
+
 /// Message format: an array in the order of `MSGPACK_DEFINE`. New members are
 /// appended: an older node sends fewer, which leaves the others at their
 /// defaults, and ignores those that it doesn't know.
@@ -40,6 +52,10 @@
   /// cold or takes load again; 0: no such limit.
   std::uint32_t starts_per_ks = 0;
   std::uint32_t starts_left = 0;  ///< Starts possible now; only with a limit.
+  /// Expected time in the queue of a new call that goes before less urgent
+  /// ones, by `WaitRankOf`; empty: only `wait_us` is known.
+  std::vector<std::uint32_t> rank_wait_us;
+  bool takes_late = true;  ///< A call that can only be late would be queued.
 
   MSGPACK_DEFINE(boot_id,
                  running,
@@ -53,7 +69,9 @@
                  slow_remaining_us,
                  cold_remaining_us,
                  starts_per_ks,
-                 starts_left)
+                 starts_left,
+                 rank_wait_us,
+                 takes_late)
 };
 
 }  // namespace yuccamast
--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -63,6 +63,8 @@
   /// upstreams of the service.
   kEvacuated,
   kColdLimit,  ///< The upstream is cold, and its limit of starts is used up.
+  /// By fresh reports no queried exit would take the call; it was not offered.
+  kNoRoom,
 };
 
 /// Properties of a reason.
@@ -78,7 +80,7 @@
 };
 
 /// Number of enumerators of `RefusalReason`.
-inline constexpr std::size_t kRefusalReasonCount = 31;
+inline constexpr std::size_t kRefusalReasonCount = 32;
 
 /// The table of reasons, indexed by their values.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/balance/balance_test.cpp
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -336,8 +336,11 @@
   cr_expect_eq(report.slow_remaining_us, 8U);
   cr_expect_eq(report.starts_per_ks, 0U);
   bytes.clear();
-  msgpack::pack(bytes, std::make_tuple(7, 1, 2, 3, 4, 5, false, 6, 110, 8, 9,
-                                       10, 11, 12, 13));
+  msgpack::pack(bytes,
+                std::make_tuple(7, 1, 2, 3, 4, 5, false, 6, 110, 8, 9, 10, 11,
+                                std::vector<int>{12}, false, 13, 14));
   msgpack::unpack(bytes.data(), bytes.size()).get().convert(report);
   cr_expect_eq(report.starts_left, 11U);
+  cr_expect_eq(report.rank_wait_us, std::vector<std::uint32_t>{12});
+  cr_expect_not(report.takes_late);
 }
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -144,8 +144,7 @@
     m_response.emplace(
         BuildReply(std::move(*http_reply), reply.call_id, *request));
   } else {
-    m_response.emplace(BuildRefusal(std::get<RefusalReason>(reply.result),
-                                    reply.call_id, *request));
+    m_response.emplace(BuildRefusal(reply, *request));
   }
   if (request->closes) {
     m_response->set(http::field::connection, "close");
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -97,7 +97,7 @@
   std::function<bool()> leaving;
   /// Called once, when the connection was closed. The owner may release it.
   std::function<void(CallerConnection*)> on_closed;
-  /// Value for the `Retry-After` field of a refusal.
+  /// Value for the `Retry-After` field of a refusal that names none.
   std::function<Duration()> retry_after;
   /// Current limits; read again for each request.
   std::function<CallerLimits()> limits;
@@ -185,8 +185,8 @@
 
   // In caller_reply.cpp.
 
-  Response BuildRefusal(RefusalReason reason,
-                        const std::string& call_id,
+  /// Precondition: `refusal` holds a reason.
+  Response BuildRefusal(const CallerReply& refusal,
                         const PendingRequest& request);
   Response BuildReply(HttpReply reply,
                       const std::string& call_id,
--- a/src/libyuccamast/http/caller_reply.cpp
+++ b/src/libyuccamast/http/caller_reply.cpp
@@ -46,10 +46,10 @@
 }
 
 CallerConnection::Response CallerConnection::BuildRefusal(
-    RefusalReason reason,
-    const std::string& call_id,
+    const CallerReply& refusal,
     const PendingRequest& request) {
-  const RefusalInfo& info = InfoOf(reason);
+  const RefusalInfo& info = InfoOf(std::get<RefusalReason>(refusal.result));
+  const std::string& call_id = refusal.call_id;
   Response response;
   response.version(request.http_version);
   response.result(info.status);
@@ -66,7 +66,8 @@
                          {"reason", info.name},
                          {"call_id", call_id}};
   if (info.retry_after) {
-    const Duration wait = m_hooks.retry_after();
+    const Duration wait =
+        refusal.retry_after ? *refusal.retry_after : m_hooks.retry_after();
     response.set(http::field::retry_after, m_dialect.retry_after(wait));
     body.push_back(
         {"retry_after_ms",
--- a/src/libyuccamast/http/caller_request.h
+++ b/src/libyuccamast/http/caller_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,6 +30,9 @@
 struct CallerReply {
   std::string call_id;  ///< Value of `Yuccamast-Call-Id`; may be empty.
   std::variant<HttpReply, RefusalReason> result;
+  /// Value for the `Retry-After` field of a refusal, instead of that of
+  /// `CallerHooks::retry_after`.
+  std::optional<Duration> retry_after = std::nullopt;
 };
 
 /// Connects a call in progress with the connection that it came from.
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -37,6 +37,14 @@
   report.leaving = leaving() || m_evacuated;
   report.wait_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_admission.ExpectedWait(Clock::now())));
+  report.rank_wait_us = {
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(true, 0, now))),
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(false, 0, now))),
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(false, 1, now)))};
+  report.takes_late = m_admission.TakesLate(now);
   report.slowness = m_vm_speed.slowness_percent();
   report.slow_remaining_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_vm_speed.At(Clock::now()).slow_remaining));
@@ -54,7 +62,8 @@
 }
 
 void ExitCalls::LogRefusedOffer(const OfferMessage& offer,
-                                RefusalReason reason) const {
+                                RefusalReason reason,
+                                ShortRoom short_room) const {
   if (!TakeLogToken(LogClass::kDecision)) {
     return;
   }
@@ -65,6 +74,7 @@
        {"upstream", offer.upstream},
        {"named", m_reported_upstream},
        {"reason", InfoOf(reason).name},
+       {"short", NameOf(short_room)},
        {"running", m_admission.running()},
        {"queued", m_admission.queued()},
        {"slots", m_admission.limits().slots},
