--- a/src/libyuccamast/admission/admission.cpp
+++ b/src/libyuccamast/admission/admission.cpp
@@ -372,12 +372,15 @@
     if (waiting.request.deadline <= now) {
       expired.push_back(
           {waiting.request.ticket, RefusalReason::kDeadlineNotRun});
-    } else if (now - waiting.since >= m_limits.queue_limit &&
-               (waiting.request.objective == TimePoint{} ||
-                IsLate(waiting.request, Duration::zero(), now))) {
-      expired.push_back({waiting.request.ticket, RefusalReason::kQueueTimeout});
-    } else if (ProspectOf(TraitsOf(waiting.request), Duration::zero(), now) ==
-               Prospect::kUseless) {
+      return;
+    }
+    const bool waited_too_long =
+        now - waiting.since >= m_limits.queue_limit &&
+        (waiting.request.objective == TimePoint{} ||
+         IsLate(waiting.request, Duration::zero(), now));
+    if (waited_too_long ||
+        ProspectOf(TraitsOf(waiting.request), Duration::zero(), now) ==
+            Prospect::kUseless) {
       expired.push_back({waiting.request.ticket, RefusalReason::kQueueTimeout});
     }
   });
