Count the messages of links and grant windows as there is room

Cause: a link took whole messages whatever memory was left: the windows were 1 MiB a stream and were reopened by themselves, and neither received nor queued messages were counted. Packing and parsing made up to three more copies.

Change: MemoryBudget is a package of its own, with stages: later holders of a message have larger shares, so that what is under way finds room to leave. Messages are announced by their length; 64 KB may come at once, the rest when the whole length is reserved. An exit refuses an offer without room (REFUSED_STREAM), an entry lets the answer wait at its peer. The kernel gets 64 KB ahead, so a short answer passes a long one. A message that was sent is released, packed in place and parsed without a copy of its strings.

--- a/etc/lint.sh
+++ b/etc/lint.sh
@@ -19,11 +19,12 @@
     membership) echo "membership" ;;
     log) echo "log" ;;
     metrics) echo "metrics outcome" ;;
-    link) echo "link balance" ;;
-    http) echo "http link log metrics outcome" ;;
+    memory) echo "memory" ;;
+    link) echo "link balance memory" ;;
+    http) echo "http link log memory metrics outcome" ;;
     admin) echo "admin" ;;
     source) echo "source config json log metrics node" ;;
-    node) echo "node admission balance config http json link log membership metrics outcome source admin" ;;
+    node) echo "node admission balance config http json link log memory membership metrics outcome source admin" ;;
   esac
 }
 for file in $sources; do
--- a/src/libyuccamast/link/client.cpp
+++ b/src/libyuccamast/link/client.cpp
@@ -4,18 +4,6 @@
 
 namespace yuccamast {
 
-namespace {
-
-nghttp2_nv MakeHeader(std::string_view name, std::string_view value) {
-  const auto bytes = [](std::string_view text) {
-    return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
-  };
-  return {bytes(name), bytes(value), name.size(), value.size(),
-          NGHTTP2_NV_FLAG_NONE};
-}
-
-}  // namespace
-
 void LinkClient::Run(EventHook on_state_change) {
   m_on_state_change = std::move(on_state_change);
   Start();
@@ -27,9 +15,12 @@
   if (closed()) {
     return -1;
   }
-  const std::array<nghttp2_nv, 4> headers = {
-      MakeHeader(":method", "POST"), MakeHeader(":scheme", "http"),
-      MakeHeader(":authority", "node"), MakeHeader(":path", NameOf(path))};
+  const std::string length = std::to_string(bytes.size());
+  const std::array<nghttp2_nv, 5> headers = {
+      MakeLinkHeader(":method", "POST"), MakeLinkHeader(":scheme", "http"),
+      MakeLinkHeader(":authority", "node"),
+      MakeLinkHeader(":path", NameOf(path)),
+      MakeLinkHeader("content-length", length)};
   nghttp2_data_provider provider = BodyProvider();
   const std::int32_t id =
       nghttp2_submit_request(http2_session(), nullptr, headers.data(),
@@ -37,7 +28,7 @@
   if (id < 0) {
     return id;
   }
-  AddStream(id).send_body = std::move(bytes);
+  SetSendBody(AddStream(id), std::move(bytes));
   m_hooks[id] = std::move(on_answer);
   Flush();
   return id;
--- a/src/libyuccamast/link/messages.h
+++ b/src/libyuccamast/link/messages.h
@@ -107,12 +107,37 @@
   MSGPACK_DEFINE(refused, reason, reply, queue_us, upstream_us, load)
 };
 
+/// A msgpack output stream into a string. `size_hint` is the expected size in
+/// bytes, so that a long message is written in place, without a second buffer.
+struct StringSink {
+  explicit StringSink(std::size_t size_hint) { text.reserve(size_hint); }
+  void write(  // NOLINT(readability-identifier-naming)
+      const char* bytes,
+      std::size_t size) {
+    text.append(bytes, size);
+  }
+  std::string text;
+};
+
 /// Serializes a message with msgpack. Thread-safe.
 template <typename Message>
-std::string Pack(const Message& message) {
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, message);
-  return {buffer.data(), buffer.size()};
+std::string Pack(const Message& message, std::size_t size_hint = 256) {
+  StringSink sink(size_hint);
+  msgpack::pack(sink, message);
+  return std::move(sink.text);
+}
+
+/// Bytes that a message takes beside its body and fields, at most.
+inline constexpr std::size_t kMessageOverhead = 4096;
+
+/// Upper estimate of the packed size of a message with such fields and body.
+inline std::size_t PackedSizeHint(const std::vector<HttpField>& fields,
+                                  const std::string& body) {
+  std::size_t size = kMessageOverhead + body.size();
+  for (const HttpField& field : fields) {
+    size += field.name.size() + field.value.size() + 12;
+  }
+  return size;
 }
 
 /// Parses exactly one message, or returns nothing if the bytes are malformed,
@@ -123,8 +148,10 @@
 std::optional<Message> Unpack(std::string_view bytes) {
   try {
     std::size_t offset = 0;
-    const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size(), offset);
+    // The strings of the parsed objects refer to `bytes`.
+    const msgpack::object_handle handle = msgpack::unpack(
+        bytes.data(), bytes.size(), offset,
+        [](msgpack::type::object_type, std::size_t, void*) { return true; });
     if (offset != bytes.size()) {
       return std::nullopt;
     }
--- a/src/libyuccamast/link/server.cpp
+++ b/src/libyuccamast/link/server.cpp
@@ -41,15 +41,14 @@
   if (closed() || stream == nullptr) {
     return;
   }
-  stream->send_body = std::move(bytes);
-  static constexpr std::string_view kName = ":status";
-  static constexpr std::string_view kValue = "200";
-  const nghttp2_nv status = {
-      reinterpret_cast<std::uint8_t*>(const_cast<char*>(kName.data())),
-      reinterpret_cast<std::uint8_t*>(const_cast<char*>(kValue.data())),
-      kName.size(), kValue.size(), NGHTTP2_NV_FLAG_NONE};
+  const std::string length = std::to_string(bytes.size());
+  SetSendBody(*stream, std::move(bytes));
+  const std::array<nghttp2_nv, 2> headers = {
+      MakeLinkHeader(":status", "200"),
+      MakeLinkHeader("content-length", length)};
   nghttp2_data_provider provider = BodyProvider();
-  nghttp2_submit_response(http2_session(), id, &status, 1, &provider);
+  nghttp2_submit_response(http2_session(), id, headers.data(), headers.size(),
+                          &provider);
   Flush();
 }
 
--- a/src/libyuccamast/link/session.cpp
+++ b/src/libyuccamast/link/session.cpp
@@ -1,9 +1,13 @@
 #include "link/session.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <charconv>
 #include <cstring>
 
 namespace yuccamast {
@@ -12,10 +16,14 @@
 
 constexpr std::array<std::string_view, 3> kPathNames = {"/call", "/load",
                                                         "/control"};
-/// Flow control windows that this end grants for each stream and for the whole
-/// connection.
-constexpr std::uint32_t kStreamWindowBytes = 1U << 20U;
+/// Window that each stream has from its start: short messages need no grant.
+constexpr std::uint32_t kFreeWindowBytes = 64U << 10U;
+/// Flow control window of the whole connection.
 constexpr std::int32_t kConnectionWindowBytes = 16 << 20;
+/// Time between two attempts to reserve room for the answers that wait.
+constexpr Duration kGrantRetryPeriod = std::chrono::milliseconds(10);
+/// Bytes that are handed to the kernel before they can be sent.
+constexpr int kUnsentBytes = 64 << 10;
 /// Frames are gathered into one write until it reaches this size.
 constexpr std::size_t kMaxWriteBytes = 64U << 10U;
 /// Largest single read.
@@ -35,6 +43,14 @@
   return static_cast<LinkPath>(found - kPathNames.begin());
 }
 
+nghttp2_nv MakeLinkHeader(std::string_view name, std::string_view value) {
+  const auto bytes = [](std::string_view text) {
+    return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
+  };
+  return {bytes(name), bytes(value), name.size(), value.size(),
+          NGHTTP2_NV_FLAG_NONE};
+}
+
 /// Callbacks of nghttp2; `user` points to the LinkSession.
 struct Http2Callbacks {
   static LinkSession& SessionOf(void* user) {
@@ -62,8 +78,15 @@
     LinkSession::Stream* stream =
         SessionOf(user).FindStream(frame->hd.stream_id);
     const std::string_view key(reinterpret_cast<const char*>(name), name_size);
+    const std::string_view text(reinterpret_cast<const char*>(value),
+                                value_size);
     if (stream != nullptr && key == ":path") {
-      stream->path.assign(reinterpret_cast<const char*>(value), value_size);
+      stream->path.assign(text);
+    }
+    if (stream != nullptr && key == "content-length") {
+      // nghttp2 has checked the number and that the data matches it.
+      std::from_chars(text.data(), text.data() + text.size(),
+                      stream->expected_bytes);
     }
     return 0;
   }
@@ -75,6 +98,7 @@
                     std::size_t size,
                     void* user) {
     LinkSession& self = SessionOf(user);
+    nghttp2_session_consume_connection(session, size);
     LinkSession::Stream* stream = self.FindStream(id);
     if (stream == nullptr) {
       return 0;
@@ -89,6 +113,11 @@
       return 0;
     }
     stream->received_body.append(reinterpret_cast<const char*>(data), size);
+    if (stream->expected_bytes == 0) {
+      stream->received_memory.SetTo(stream->received_body.capacity(),
+                                    MemoryUse::kAnswer);
+      nghttp2_session_consume_stream(session, id, size);
+    }
     return 0;
   }
 
@@ -103,6 +132,12 @@
     if (frame->hd.type == NGHTTP2_GOAWAY) {
       self.OnGoAway();
     }
+    if (frame->hd.type == NGHTTP2_HEADERS) {
+      LinkSession::Stream* stream = self.FindStream(frame->hd.stream_id);
+      if (stream != nullptr) {
+        self.AdmitMessage(frame->hd.stream_id, *stream);
+      }
+    }
     const bool may_end_stream =
         frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     if (may_end_stream && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
@@ -111,6 +146,10 @@
         stream->end_stream_received = true;
         stream->dispatched = true;
         self.OnMessage(frame->hd.stream_id, *stream);
+        stream = self.FindStream(frame->hd.stream_id);
+        if (stream != nullptr) {
+          stream->received_memory.Reset();
+        }
       }
     }
     return 0;
@@ -142,6 +181,9 @@
     if (stream->sent_bytes == stream->send_body.size()) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
       stream->end_stream_sent = true;
+      stream->sent_bytes = 0;
+      stream->send_body = {};
+      stream->send_memory.Reset();
     }
     return static_cast<ssize_t>(count);
   }
@@ -153,7 +195,8 @@
     : m_options(options),
       m_socket(std::move(socket)),
       m_is_client(is_client),
-      m_ping_timer(m_socket.get_executor()) {
+      m_ping_timer(m_socket.get_executor()),
+      m_grant_timer(m_socket.get_executor()) {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
   nghttp2_session_callbacks_set_on_begin_headers_callback(
@@ -166,11 +209,15 @@
                                                        Http2Callbacks::OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       callbacks, Http2Callbacks::OnStreamClose);
+  nghttp2_option* option = nullptr;
+  nghttp2_option_new(&option);
+  nghttp2_option_set_no_auto_window_update(option, 1);
   if (is_client) {
-    nghttp2_session_client_new(&m_session, callbacks, this);
+    nghttp2_session_client_new2(&m_session, callbacks, this, option);
   } else {
-    nghttp2_session_server_new(&m_session, callbacks, this);
+    nghttp2_session_server_new2(&m_session, callbacks, this, option);
   }
+  nghttp2_option_del(option);
   nghttp2_session_callbacks_del(callbacks);
 }
 
@@ -182,10 +229,12 @@
   boost::system::error_code ignored;
   m_socket.set_option(tcp::no_delay(true), ignored);
   m_socket.non_blocking(true, ignored);
+  ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &kUnsentBytes, sizeof(kUnsentBytes));
   m_remote = m_socket.remote_endpoint(ignored);
   const std::array<nghttp2_settings_entry, 2> settings = {{
       {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_options.max_streams},
-      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindowBytes},
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kFreeWindowBytes},
   }};
   nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(),
                           settings.size());
@@ -214,7 +263,68 @@
   if (m_streams.empty() && m_ping_timer.expiry() > check_at) {
     ArmPing(m_options.silence_floor);
   }
-  return m_streams[id];
+  return m_streams.try_emplace(id, m_options.Budget()).first->second;
+}
+
+void LinkSession::SetSendBody(Stream& stream, std::string bytes) {
+  stream.send_body = std::move(bytes);
+  stream.send_memory.SetTo(stream.send_body.capacity(), MemoryUse::kQueued);
+}
+
+void LinkSession::AdmitMessage(std::int32_t id, Stream& stream) {
+  if (stream.expected_bytes > m_options.max_message_bytes) {
+    // See OnData.
+    nghttp2_submit_rst_stream(
+        m_session, NGHTTP2_FLAG_NONE, id,
+        m_is_client ? NGHTTP2_CANCEL : NGHTTP2_REFUSED_STREAM);
+    return;
+  }
+  if (TryGrant(id, stream)) {
+    return;
+  }
+  if (!m_is_client) {
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id,
+                              NGHTTP2_REFUSED_STREAM);
+    return;
+  }
+  m_ungranted.push_back(id);
+  if (m_ungranted.size() == 1) {
+    ArmGrantTimer();
+  }
+}
+
+bool LinkSession::TryGrant(std::int32_t id, Stream& stream) {
+  const MemoryUse use = m_is_client ? MemoryUse::kAnswer : MemoryUse::kOffer;
+  if (stream.expected_bytes <= kFreeWindowBytes) {
+    stream.received_memory.SetTo(stream.expected_bytes, use);
+  } else if (!m_options.Budget().HasRoom(stream.expected_bytes, use)) {
+    return false;
+  } else {
+    stream.received_memory.SetTo(stream.expected_bytes, use);
+    nghttp2_session_set_local_window_size(
+        m_session, NGHTTP2_FLAG_NONE, id,
+        static_cast<std::int32_t>(stream.expected_bytes));
+  }
+  stream.received_body.reserve(stream.expected_bytes);
+  return true;
+}
+
+void LinkSession::ArmGrantTimer() {
+  m_grant_timer.expires_after(kGrantRetryPeriod);
+  m_grant_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (error || self->m_closed) {
+          return;
+        }
+        std::erase_if(self->m_ungranted, [&](std::int32_t id) {
+          Stream* stream = self->FindStream(id);
+          return stream == nullptr || self->TryGrant(id, *stream);
+        });
+        if (!self->m_ungranted.empty()) {
+          self->ArmGrantTimer();
+        }
+        self->Flush();
+      });
 }
 
 void LinkSession::Read() {
@@ -335,6 +445,7 @@
   m_closed = true;
   const auto self_guard = shared_from_this();
   m_ping_timer.cancel();
+  m_grant_timer.cancel();
   boost::system::error_code ignored;
   m_socket.close(ignored);
   while (!m_streams.empty()) {
--- a/src/libyuccamast/link/session.h
+++ b/src/libyuccamast/link/session.h
@@ -12,7 +12,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "memory/memory_budget.h"
 #include "yuccamast/clock.h"
 
 /// \file session.h
@@ -36,6 +38,16 @@
 /// suspect session is up to the owner: the path may be lost, or the peer may
 /// only be paused.
 ///
+/// Flow control: each message is announced by its length (`content-length`). A
+/// stream may carry `kFreeWindowBytes` at once; the window for the rest is
+/// granted when the length has been reserved from `LinkOptions::budget`, all of
+/// it, so that no half of a message waits for the room of another one. Without
+/// room, the server end refuses the stream, and the client end keeps the answer
+/// waiting at the peer until there is room or the stream is cancelled. The
+/// window of the connection never limits, so a waiting stream does not stop
+/// the others. Frames of the streams alternate, and the kernel is given only
+/// `kUnsentBytes` ahead, so a short message passes a long one.
+///
 /// Not thread-safe: a session is used only on the thread of its io_context.
 
 namespace yuccamast {
@@ -61,6 +73,13 @@
   std::size_t max_message_bytes = 9U << 20U;
   /// Concurrent streams that the peer may open.
   std::uint32_t max_streams = 1000;
+  /// Account of the messages held; null: without a limit. Must outlive the
+  /// sessions.
+  MemoryBudget* budget = nullptr;
+
+  MemoryBudget& Budget() const {
+    return budget == nullptr ? MemoryBudget::Unlimited() : *budget;
+  }
 };
 
 /// Kind of message on a stream, sent as the `:path` of the stream.
@@ -71,6 +90,9 @@
 /// The kind with the given `:path`, or nothing. Thread-safe.
 std::optional<LinkPath> LinkPathFromName(std::string_view name);
 
+/// An nghttp2 header that refers to both texts. Thread-safe.
+nghttp2_nv MakeLinkHeader(std::string_view name, std::string_view value);
+
 /// Base class of both ends; owned by shared_ptr. See the file comment.
 class LinkSession : public std::enable_shared_from_this<LinkSession> {
  public:
@@ -101,9 +123,16 @@
 
  protected:
   struct Stream {
-    std::string path;              ///< Server end: the requested `:path`.
+    explicit Stream(MemoryBudget& budget)
+        : received_memory(budget, MemoryUse::kAnswer),
+          send_memory(budget, MemoryUse::kQueued) {}
+
+    std::string path;                ///< Server end: the requested `:path`.
+    std::size_t expected_bytes = 0;  ///< Announced length; 0: not announced.
+    MemoryReservation received_memory;
+    MemoryReservation send_memory;
     std::string received_body;     ///< Body received so far.
-    std::string send_body;         ///< Body to send.
+    std::string send_body;         ///< Body to send; empty once all was taken.
     std::size_t sent_bytes = 0;    ///< Bytes of send_body that nghttp2 took.
     bool end_stream_sent = false;  ///< nghttp2 took the last byte to send.
     bool end_stream_received = false;  ///< END_STREAM was received.
@@ -125,6 +154,8 @@
   /// Adds a stream and sees to it that the connection is checked soon.
   Stream& AddStream(std::int32_t id);
 
+  /// Sets the message to send on the stream.
+  static void SetSendBody(Stream& stream, std::string bytes);
   /// An nghttp2 data provider that reads `Stream::send_body` of its stream.
   nghttp2_data_provider BodyProvider();
 
@@ -156,6 +187,11 @@
   /// Time after which an unacknowledged PING makes the session suspect.
   Duration PingTimeout() const;
   void EndStream(std::int32_t id, std::uint32_t error);
+  /// Makes room for the announced message and grants its window.
+  void AdmitMessage(std::int32_t id, Stream& stream);
+  /// Reserves the announced length. Returns false without room.
+  bool TryGrant(std::int32_t id, Stream& stream);
+  void ArmGrantTimer();
   /// Calls `Close` later, from the event loop.
   void PostClose();
 
@@ -170,6 +206,8 @@
   bool m_closed = false;
   bool m_suspect = false;
   asio::steady_timer m_ping_timer;
+  asio::steady_timer m_grant_timer;
+  std::vector<std::int32_t> m_ungranted;  ///< Answers that wait for room.
   TimePoint m_last_receive_at;
   TimePoint m_ping_sent_at;
   bool m_ping_pending = false;
