Hold one copy of a message and reserve replies before they are read

Cause: an entry kept the body of a request, its offer, a growing msgpack buffer and the packed message; an exit had three copies of an offer, and read replies of up to 8 MB for every slot whatever memory was left. Freed bodies stayed in the heap, since glibc raises the size from which blocks are mapped.

Change: bodies are moved through offer, run and reply. An entry refuses with memory_full if an offer has no room, and releases a body of more than a sixteenth of the budget once it is packed (one offer then). An exit refuses a call, not run, unless the reply expected for its rule fits; a reply is reserved before it is read and may wait for room for a second (an upstream cuts an answer that is left unread longer), then fails as reply_too_large. Messages may be as long as an exit's share of the budget. The allocator returns long blocks.

--- a/src/libyuccamast/http/read_limits.h
+++ b/src/libyuccamast/http/read_limits.h
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
+#include <string>
 
 /// \file read_limits.h
 /// Limits of what one HTTP message may hold in a read buffer.
@@ -35,4 +37,22 @@
   return std::min(max_head_bytes + kReadChunkBytes, kMaxReadBufferBytes);
 }
 
+/// Capacity that a body needs before the next read, so that the read does not
+/// make it grow by itself and its memory can be reserved first: the whole
+/// `length` if it is known, otherwise twice the size once it is nearly full. At
+/// most `max_bytes` and one read. Thread-safe.
+inline std::size_t GrownCapacity(const std::string& body,
+                                 std::optional<std::size_t> length,
+                                 std::size_t max_bytes) {
+  if (length) {
+    return std::min(*length, max_bytes);
+  }
+  const std::size_t needed = body.size() + kMaxReadBufferBytes;
+  if (needed <= body.capacity()) {
+    return body.capacity();
+  }
+  return std::max(needed,
+                  std::min(2 * body.size(), max_bytes + kMaxReadBufferBytes));
+}
+
 }  // namespace yuccamast
--- a/src/libyuccamast/http/upstream_pool.cpp
+++ b/src/libyuccamast/http/upstream_pool.cpp
@@ -21,18 +21,23 @@
 /// kUpstreamLost.
 constexpr std::size_t kMaxSkippedReplies = 3;
 
+/// Time between two attempts to reserve room for a reply.
+constexpr std::chrono::milliseconds kRoomRetryPeriod{5};
+
 }  // namespace
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& io,
                            tcp::endpoint endpoint,
                            const UpstreamLimits& limits,
                            const Dialect& dialect,
-                           Metrics& metrics)
+                           Metrics& metrics,
+                           MemoryBudget& budget)
     : m_io(io),
       m_endpoint(std::move(endpoint)),
       m_limits(limits),
       m_dialect(dialect),
-      m_metrics(metrics) {}
+      m_metrics(metrics),
+      m_budget(budget) {}
 
 UpstreamPool::~UpstreamPool() = default;
 
@@ -101,7 +106,11 @@
 UpstreamRun::UpstreamRun(UpstreamPool& pool,
                          UpstreamRequest request,
                          UpstreamHooks hooks)
-    : m_pool(pool), m_request(std::move(request)), m_hooks(std::move(hooks)) {}
+    : m_pool(pool),
+      m_request(std::move(request)),
+      m_hooks(std::move(hooks)),
+      m_memory(pool.m_budget, MemoryUse::kReply),
+      m_room_timer(pool.m_io) {}
 
 void UpstreamRun::BuildMessage() {
   m_message.version(11);
@@ -235,13 +244,48 @@
     OnReplyComplete();
     return;
   }
-  http::async_read(
+  if (!ReserveBody()) {
+    WaitForRoom();
+    return;
+  }
+  m_room_wanted_at = {};
+  http::async_read_some(
       m_connection->stream, m_connection->buffer, *m_parser,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         self->OnBody(error);
       });
 }
 
+bool UpstreamRun::ReserveBody() {
+  std::string& body = m_parser->get().body();
+  const auto length = m_parser->content_length();
+  const std::size_t capacity = GrownCapacity(
+      body, length ? std::optional<std::size_t>(*length) : std::nullopt,
+      m_pool.m_limits.max_reply_bytes);
+  if (!m_memory.GrowTo(capacity)) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
+void UpstreamRun::WaitForRoom() {
+  const TimePoint now = Clock::now();
+  if (m_room_wanted_at == TimePoint{}) {
+    m_room_wanted_at = now;
+  }
+  if (now - m_room_wanted_at > m_pool.m_limits.room_wait) {
+    Fail(RefusalReason::kReplyTooLarge);
+    return;
+  }
+  m_room_timer.expires_after(kRoomRetryPeriod);
+  m_room_timer.async_wait([self = shared_from_this()](const error_code&) {
+    if (!self->m_finished) {
+      self->ReadBody();
+    }
+  });
+}
+
 void UpstreamRun::OnBody(const error_code& error) {
   if (m_finished) {
     return;
@@ -251,6 +295,10 @@
                                           : RefusalReason::kReplyIncomplete);
     return;
   }
+  if (!error && !m_parser->is_done()) {
+    ReadBody();
+    return;
+  }
   OnReplyComplete();
 }
 
--- a/src/libyuccamast/http/upstream_pool.h
+++ b/src/libyuccamast/http/upstream_pool.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
@@ -17,6 +18,7 @@
 #include "http/read_limits.h"
 #include "http/reply_head.h"
 #include "link/messages.h"
+#include "memory/memory_budget.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/outcome/refusal.h"
@@ -48,7 +50,9 @@
 ///
 /// Memory: a reply takes at most `UpstreamLimits::max_reply_bytes` for its body
 /// and `ReadBufferBytes` for everything else. One that needs more fails with
-/// kReplyTooLarge or kReplyIncomplete, and its connection is closed.
+/// kReplyTooLarge or kReplyIncomplete, and its connection is closed. The memory
+/// for a body is reserved before it is read. Without room, reading waits for up
+/// to `UpstreamLimits::room_wait`, then the run fails with kReplyTooLarge.
 
 namespace yuccamast {
 
@@ -68,6 +72,9 @@
   /// A connection whose other end acknowledges nothing for about this long is
   /// closed by the kernel, see `SetTcpOptions`.
   Duration silence = std::chrono::seconds(3);
+  /// A reply is left unread for at most this long while memory is short; then
+  /// it fails.
+  Duration room_wait = std::chrono::seconds(1);
 };
 
 /// A request to the upstream.
@@ -112,7 +119,8 @@
                boost::asio::ip::tcp::endpoint endpoint,
                const UpstreamLimits& limits,
                const Dialect& dialect,
-               Metrics& metrics);
+               Metrics& metrics,
+               MemoryBudget& budget = MemoryBudget::Unlimited());
   ~UpstreamPool();
 
   /// Starts a request on an idle or a new connection. The returned handle lets
@@ -156,6 +164,7 @@
   const UpstreamLimits& m_limits;
   const Dialect& m_dialect;
   Metrics& m_metrics;
+  MemoryBudget& m_budget;
   std::list<ConnectionPtr> m_idle;  ///< Most recently used first.
   std::size_t m_open_connections = 0;
 };
@@ -166,6 +175,11 @@
  public:
   UpstreamRun(UpstreamPool& pool, UpstreamRequest request, UpstreamHooks hooks);
 
+  /// Reserves the expected size of the reply ahead, whatever the limit says.
+  void ExpectReply(std::size_t bytes) {
+    m_memory.SetTo(bytes, MemoryUse::kReply);
+  }
+
   /// Closes the connection, which tells the upstream to cancel. No hook is
   /// called any more. Does nothing if the run is over.
   void Abort();
@@ -182,6 +196,9 @@
   void ReadHead();
   void OnHead(const boost::system::error_code& error);
   void ReadBody();
+  /// Reserves what the next read needs. Returns false without room.
+  bool ReserveBody();
+  void WaitForRoom();
   void OnBody(const boost::system::error_code& error);
   void OnReplyComplete();
   bool IsFramed() const;
@@ -197,6 +214,9 @@
   UpstreamHooks m_hooks;
   UpstreamPool::ConnectionPtr m_connection;
   Message m_message;
+  MemoryReservation m_memory;  ///< For the body of the reply.
+  boost::asio::steady_timer m_room_timer;
+  TimePoint m_room_wanted_at{};  ///< Epoch of the clock: not waiting.
   std::optional<Parser> m_parser;
   HttpReply m_reply;       ///< Set when its head was read, but for the body.
   bool m_written = false;  ///< The whole request was written.
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -25,6 +25,11 @@
 /// the deadline.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(1);
 
+/// A body is kept for further offers up to this part of the memory budget. A
+/// longer one is released when it was packed, so that it is held once; its call
+/// gets one offer.
+constexpr std::size_t kKeptBodyShare = 16;
+
 /// A caller's request id is used as the call's id up to this length, in bytes.
 constexpr std::size_t kMaxRequestIdLength = 64;
 
@@ -115,6 +120,14 @@
                           : RefusalReason::kDeadlineNotRun);
     return;
   }
+  if (m_body_given_away) {
+    EndWithoutSuccess(if_none);
+    return;
+  }
+  if (!HasRoomForOffer()) {
+    EndWithoutSuccess(RefusalReason::kMemoryFull);
+    return;
+  }
   const RandomHook random = [this] { return m_context.random(); };
   ChoiceContext choice;
   choice.now = now;
@@ -207,10 +220,28 @@
   if (!caller_service_field.empty()) {
     SetField(offer.fields, caller_service_field, m_context.local_service());
   }
-  offer.body = m_request.body;
+  offer.body = std::move(m_request.body);
   return offer;
 }
 
+std::string EntryCall::PackOffer(const Attempt& attempt) {
+  OfferMessage offer = BuildOffer(attempt);
+  std::string bytes = Pack(offer, PackedSizeHint(offer.fields, offer.body));
+  m_body_given_away =
+      offer.body.size() > m_context.budget->limit() / kKeptBodyShare;
+  if (!m_body_given_away) {
+    m_request.body = std::move(offer.body);
+  }
+  return bytes;
+}
+
+bool EntryCall::HasRoomForOffer() const {
+  const std::size_t size = m_request.body.size() + kMessageOverhead;
+  return size <= m_context.settings.link.max_message_bytes &&
+         (m_request.body.size() <= kMessageOverhead ||
+          m_context.budget->HasRoom(size, MemoryUse::kOffer));
+}
+
 void EntryCall::Offer(std::size_t member) {
   ++m_offers;
   m_tried.push_back(member);
@@ -225,13 +256,13 @@
   m_state.TransitionTo(CallStep::kOffered);
   OfferHooks hooks;
   hooks.on_answer = [self = shared_from_this()](StreamOutcome outcome,
-                                                const std::string& bytes) {
-    self->OnAnswer(outcome, bytes);
+                                                std::string bytes) {
+    self->OnAnswer(outcome, std::move(bytes));
   };
   hooks.needs_live_connection = !m_rule->idempotent;
   hooks.on_suspect = [self = shared_from_this()] { self->OnSuspect(); };
-  m_attempt.offer = m_attempt.link->Send(
-      LinkPath::kCall, Pack(BuildOffer(m_attempt)), std::move(hooks));
+  m_attempt.offer = m_attempt.link->Send(LinkPath::kCall, PackOffer(m_attempt),
+                                         std::move(hooks));
 }
 
 void EntryCall::EndAttempt(AttemptEnd end) {
@@ -243,7 +274,7 @@
   m_attempt.state->OnEnd(end, now - m_attempt.sent_at, now, {});
 }
 
-void EntryCall::OnAnswer(StreamOutcome outcome, const std::string& bytes) {
+void EntryCall::OnAnswer(StreamOutcome outcome, std::string bytes) {
   if (m_finished) {
     return;
   }
@@ -260,6 +291,7 @@
       break;
   }
   auto answer = Unpack<AnswerMessage>(bytes);
+  bytes = {};
   if (!answer) {
     EndAttempt(AttemptEnd::kFailed);
     OnUnknownOutcome(RefusalReason::kPeerLost);
@@ -429,14 +461,14 @@
          {"config", m_view->config->revision}});
   }
   Finish();
-  RunAfterStepHook(CallStep::kRelayed,
-                   [self = shared_from_this(), reply = std::move(reply)] {
-                     const Done done = std::move(self->m_done);
-                     self->m_done = nullptr;
-                     if (done) {
-                       done({self->m_id, reply});
-                     }
-                   });
+  RunAfterStepHook(CallStep::kRelayed, [self = shared_from_this(),
+                                        reply = std::move(reply)]() mutable {
+    const Done done = std::move(self->m_done);
+    self->m_done = nullptr;
+    if (done) {
+      done({self->m_id, std::move(reply)});
+    }
+  });
 }
 
 void EntryCall::Refuse(RefusalReason reason) {
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -96,6 +96,7 @@
   std::function<TimePoint()> admit_until;
   /// Ids of the calls that run at the upstream beside this node.
   const RunningCallIds* running_call_ids = nullptr;
+  MemoryBudget* budget = nullptr;  ///< Never null while calls are handled.
 };
 
 /// Use from the entry's thread only. Must be owned by a shared_ptr.
@@ -186,10 +187,14 @@
                      RefusalReason refused_as,
                      TimePoint now) const;
   void Offer(std::size_t member);
+  /// Takes the body of the request; `PackOffer` gives it back.
   OfferMessage BuildOffer(const Attempt& attempt);
+  std::string PackOffer(const Attempt& attempt);
+  /// Whether there is memory to pack an offer.
+  bool HasRoomForOffer() const;
   /// How much earlier the exit's deadline is than the entry's.
   Duration ReplyMargin(const Attempt& attempt) const;
-  void OnAnswer(StreamOutcome outcome, const std::string& bytes);
+  void OnAnswer(StreamOutcome outcome, std::string bytes);
   void OnAnswerMessage(AnswerMessage answer);
   void OnRefusal(RefusalReason reason);
   /// Offers the call again after a delay, to members already tried too.
@@ -252,6 +257,7 @@
   std::optional<std::int64_t> m_caller_remaining_ms;  ///< As the request says.
   /// Reply with a server error, delivered if the retry fails.
   std::optional<HttpReply> m_fallback;
+  bool m_body_given_away = false;  ///< A long body, released once packed.
   bool m_finished = false;
 };
 
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -69,6 +69,7 @@
     return FindOrAddLink(endpoint);
   };
   m_context.running_call_ids = &shared.running_call_ids;
+  m_context.budget = &shared.budget;
   m_context.admit_until = [this] {
     return m_shared.admit_until.load(std::memory_order_relaxed);
   };
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "http/caller_connection.h"
-#include "http/memory_budget.h"
+#include "memory/memory_budget.h"
 #include "node/entry_call.h"
 #include "node/peer_link.h"
 #include "node/running_call_ids.h"
--- a/src/libyuccamast/node/exit_call.h
+++ b/src/libyuccamast/node/exit_call.h
@@ -3,9 +3,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
-#include "http/memory_budget.h"
 #include "http/upstream_pool.h"
 #include "link/server.h"
+#include "memory/memory_budget.h"
 #include "node/exit_calls.h"
 #include "node/running_call_ids.h"
 #include "yuccamast/outcome/call_state_machine.h"
@@ -21,7 +21,7 @@
        StreamResponder stream_responder,
        MemoryBudget& budget)
       : responder(std::move(stream_responder)),
-        memory(budget),
+        memory(budget, MemoryUse::kOffer),
         deadline_timer(io),
         state(CallStep::kAdmitted) {}
 
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -66,7 +66,7 @@
         io,
         tcp::endpoint(asio::ip::make_address(settings.upstream_ip),
                       settings.upstream_port),
-        settings.upstream_limits, *settings.dialect, metrics);
+        settings.upstream_limits, *settings.dialect, metrics, budget);
     HealthCheckerHooks hooks;
     hooks.on_draining_changed = [this](bool draining) { OnDraining(draining); };
     hooks.on_health = [this](const HealthStatus& health,
@@ -150,25 +150,27 @@
   });
 }
 
-void ExitCalls::Offer(const std::string& bytes,
+void ExitCalls::Offer(std::string bytes,
                       const StreamResponder& responder,
                       std::uint64_t stream_key) {
   const TimePoint now = Clock::now();
   CheckPause(now);
   m_metrics.Add(Counter::kOffersReceived);
   auto offer = Unpack<OfferMessage>(bytes);
+  bytes = {};
   if (!offer) {
     m_metrics.Add(Counter::kControlMessagesRefused);
     responder.Refuse();
     return;
   }
   const std::string target = offer->target;
-  RunAfterStepHook(CallStep::kOffered, target,
-                   [this, offer = std::move(*offer), responder, stream_key] {
-                     if (responder.open()) {
-                       ProcessOffer(offer, responder, stream_key);
-                     }
-                   });
+  RunAfterStepHook(
+      CallStep::kOffered, target,
+      [this, offer = std::move(*offer), responder, stream_key]() mutable {
+        if (responder.open()) {
+          ProcessOffer(std::move(offer), responder, stream_key);
+        }
+      });
 }
 
 void ExitCalls::ProcessOffer(OfferMessage offer,
@@ -196,6 +198,11 @@
 
 void ExitCalls::Admit(const CallPtr& call, TimePoint now) {
   AdmissionRequest request;
+  if (!HasRoomForReply(call->offer.rule)) {
+    LogRefusedOffer(call->offer, RefusalReason::kMemoryFull);
+    AnswerRefusal(call->responder, RefusalReason::kMemoryFull);
+    return;
+  }
   request.ticket = call->ticket;
   request.deadline = call->deadline;
   request.weight =
@@ -272,13 +279,18 @@
     OnRunDone(call, std::move(result));
   };
   call->run = m_upstream->Run(BuildRequest(*call), std::move(hooks));
+  call->run->ExpectReply(m_reply_sizes.Of(call->offer.rule));
+}
+
+bool ExitCalls::HasRoomForReply(const std::string& rule) const {
+  return m_budget.HasRoom(m_reply_sizes.Of(rule), MemoryUse::kReply);
 }
 
 void ExitCalls::OnRunDone(const CallPtr& call, UpstreamResult result) {
   RunAfterStepHook(CallStep::kAnswered, call->offer.target,
-                   [this, call, result = std::move(result)] {
+                   [this, call, result = std::move(result)]() mutable {
                      if (m_calls.contains(call->ticket)) {
-                       FinishRun(call, result);
+                       FinishRun(call, std::move(result));
                      }
                    });
 }
@@ -303,6 +315,7 @@
                          now);
       m_service_times.AddSample(call->offer.rule, normalized);
     }
+    m_reply_sizes.AddSample(call->offer.rule, response->body.size());
     m_metrics.Add(Counter::kRunsFinished);
     m_metrics.Record(Latency::kUpstream, service_time);
     call->state.TransitionTo(CallStep::kAnswered);
@@ -319,7 +332,10 @@
   if (!call->reply_done) {
     call->reply_done = true;
     answer.load = MakeReport();
-    call->responder.Answer(Pack(answer));
+    std::string bytes =
+        Pack(answer, PackedSizeHint(answer.reply.fields, answer.reply.body));
+    answer.reply.body = {};
+    call->responder.Answer(std::move(bytes));
   }
   Discard(call);
   StartQueued();
@@ -429,6 +445,11 @@
   while (const auto ticket = m_admission.StartNext(Clock::now())) {
     const CallPtr call = m_calls.at(*ticket);
     call->has_slot = true;
+    if (!HasRoomForReply(call->offer.rule)) {
+      ReleaseSlot(call, false);
+      RefuseCall(call, RefusalReason::kMemoryFull);
+      continue;
+    }
     ArmDeadline(call);
     StartRun(call);
   }
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -10,11 +10,12 @@
 #include <vector>
 
 #include "http/health_checker.h"
-#include "http/memory_budget.h"
 #include "http/upstream_pool.h"
 #include "link/server.h"
 #include "log/log.h"
+#include "memory/memory_budget.h"
 #include "node/fleet_view.h"
+#include "node/reply_sizes.h"
 #include "node/running_call_ids.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
@@ -83,7 +84,7 @@
   /// Handles an offer: `bytes` is the packed `OfferMessage` that a peer sent.
   /// `stream_key` identifies the offer in `Cancel`; it is unique among the open
   /// streams. The stream of a malformed message is refused.
-  void Offer(const std::string& bytes,
+  void Offer(std::string bytes,
              const StreamResponder& responder,
              std::uint64_t stream_key);
 
@@ -182,6 +183,8 @@
   void Discard(const CallPtr& held_call);
   /// Releases the slot, if the call holds one. `counts_as_sample`: its service
   /// time goes into the averages.
+  /// Whether there is memory for the reply to a call of the rule.
+  bool HasRoomForReply(const std::string& rule) const;
   void ReleaseSlot(const CallPtr& call, bool counts_as_sample);
   void ArmTick();
   void OnTick();
@@ -225,6 +228,7 @@
   std::unique_ptr<UpstreamPool> m_upstream;
   std::shared_ptr<const FleetView> m_limits_view;  ///< Of the limits in force.
   ServiceTimeEstimator m_service_times;
+  ReplySizes m_reply_sizes;
   VmSpeedTracker m_vm_speed;
   mutable SlowdownEstimator m_slowdown;      ///< Mutable: decays when read.
   std::vector<ReportDone> m_report_waiters;  ///< Wait for a load reading.
--- a/src/libyuccamast/node/exit_server.cpp
+++ b/src/libyuccamast/node/exit_server.cpp
@@ -71,7 +71,7 @@
                            std::uint64_t stream_key) {
   switch (path) {
     case LinkPath::kCall:
-      m_calls.Offer(bytes, responder, stream_key);
+      m_calls.Offer(std::move(bytes), responder, stream_key);
       return;
     case LinkPath::kLoad:
       responder.Answer(Pack(m_calls.MakeReport()));
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -7,6 +7,7 @@
 #include <system_error>
 
 #include "log/log.h"
+#include "memory/return_freed.h"
 #include "node/bind.h"
 #include "yuccamast/version.h"
 
@@ -32,10 +33,20 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
+/// The settings with `budget` as the account of the links, which is not used
+/// here. Messages may have the size that an exit could take.
+NodeSettings WithBudget(NodeSettings settings, MemoryBudget& budget) {
+  settings.link.budget = &budget;
+  settings.link.max_message_bytes =
+      std::max(settings.link.max_message_bytes,
+               MemoryBudget(settings.memory_bytes).ShareOf(MemoryUse::kOffer));
+  return settings;
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings, NodeHooks hooks)
-    : m_settings(std::move(settings)),
+    : m_settings(WithBudget(std::move(settings), m_budget)),
       m_hooks(std::move(hooks)),
       m_boot_id(NewBootId()),
       m_started_at(Clock::now()),
@@ -61,6 +72,7 @@
 Node::~Node() = default;
 
 int Node::Run() {
+  ReturnFreedMemory();
   // Before callers can connect, so that a stop never cuts them.
   ArmSignals();
   StartExitAndEntries();
