--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -50,6 +50,7 @@
     "upstream_fault",
     "offer_refused",
     "caller_refused",
+    "caller_closed_for_memory",
     "member_changed",
     "upstream_draining",
     "upstream_named",
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -62,6 +62,7 @@
   kUpstreamFault,
   kOfferRefused,
   kCallerRefused,
+  kCallerClosedForMemory,
   kMemberChanged,
   kUpstreamDraining,
   kUpstreamNamed,
--- a/src/libyuccamast/memory/memory_budget.h
+++ b/src/libyuccamast/memory/memory_budget.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <string_view>
 
 /// \file memory_budget.h
 /// The account of the memory that a node holds for callers, upstreams and peers
@@ -34,6 +35,12 @@
   kCount
 };
 
+/// Names of the kinds of holders, by value.
+inline constexpr std::array<std::string_view,
+                            static_cast<std::size_t>(MemoryUse::kCount)>
+    kMemoryUseNames = {"request", "offer",  "reply",
+                       "queued",  "answer", "written"};
+
 /// Counter of reserved bytes. Thread-safe.
 class MemoryBudget {
  public:
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -26,6 +26,8 @@
     {"calls_retried", "Idempotent calls offered again after an unknown run."},
     {"retries_denied", "Retries not made for lack of budget."},
     {"callers_gone", "Callers that closed before their reply."},
+    {"callers_closed_for_memory",
+     "Callers closed or refused while memory was short, for what they held."},
     {"caller_connections", "Connections accepted from callers."},
     {"caller_connections_refused", "Connections refused at the limit."},
     {"offers_received", "Offers read whole at the exit."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -32,6 +32,7 @@
   kCallsRetried,
   kRetriesDenied,
   kCallersGone,
+  kCallersClosedForMemory,
   kCallerConnections,
   kCallerConnectionsRefused,
   kOffersReceived,
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -33,6 +33,17 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
+JsonValue MemoryToJson(const MemoryBudget& budget) {
+  JsonValue::Object json{{"bodies_used", std::uint64_t{budget.used()}},
+                         {"bodies_limit", std::uint64_t{budget.limit()}},
+                         {"failures", std::uint64_t{budget.failures()}}};
+  for (std::size_t i = 0; i < kMemoryUseNames.size(); ++i) {
+    const std::size_t held = budget.used(static_cast<MemoryUse>(i));
+    json.push_back({std::string(kMemoryUseNames.at(i)), std::uint64_t{held}});
+  }
+  return json;
+}
+
 /// The settings with `budget` as the account of the links, which is not used
 /// here. Messages may have the size that an exit could take.
 NodeSettings WithBudget(NodeSettings settings, MemoryBudget& budget) {
@@ -393,9 +404,7 @@
       {"balance", m_view_store.BalanceToJson(Clock::now())},
       {"entries", std::move(entries)},
       {"exit", exit_ran ? *exit : JsonValue("busy")},
-      {"memory",
-       JsonValue::Object{{"bodies_used", std::uint64_t{m_budget.used()}},
-                         {"bodies_limit", std::uint64_t{m_budget.limit()}}}},
+      {"memory", MemoryToJson(m_budget)},
       {"metrics", m_metrics.ToJson()}};
 }
 
