Bound what callers hold by unfinished bodies and unread replies

Cause: a chunked body was counted by its size after it was read; a refused connection kept its body while it lingered; replies that wait for their caller were not counted, and one could be read byte by byte for as long as the limit of the whole write allowed, whatever memory was left.

Change: the capacity for a chunk is reserved before it is read, a refusal releases the body first, a reply counts until it is written. write_timeout_ms is for progress, not for the whole reply. While memory is short, an entry closes the callers that ChooseHoldersToClose names: one whose body is being read is refused with memory_full (not run), one that reads a reply is closed.

--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -170,6 +170,7 @@
     RefuseReadError(error);
     return;
   }
+  m_transfer_began_at = Clock::now();
   m_request_fields = CopyFields(m_parser->get());
   m_http_version = m_parser->get().version();
   m_keep_alive = m_parser->get().keep_alive();
@@ -212,6 +213,16 @@
     OnBody({});
     return;
   }
+  if (!m_parser->content_length()) {
+    std::string& body = m_parser->get().body();
+    const std::size_t capacity =
+        GrownCapacity(body, std::nullopt, m_limits.max_body_bytes);
+    if (!m_memory.GrowTo(capacity)) {
+      Refuse(RefusalReason::kMemoryFull);
+      return;
+    }
+    body.reserve(capacity);
+  }
   ArmReadTimer(m_limits.body_timeout);
   http::async_read_some(
       m_stream, m_buffer, *m_parser,
@@ -228,10 +239,6 @@
     RefuseReadError(error);
     return;
   }
-  if (!m_memory.GrowTo(m_parser->get().body().size())) {
-    Refuse(RefusalReason::kMemoryFull);
-    return;
-  }
   if (!m_parser->is_done()) {
     ReadBody();
     return;
@@ -320,7 +327,9 @@
 }
 
 void CallerConnection::RefuseReadError(const error_code& error) {
-  if (m_timed_out) {
+  if (m_closed_for_memory) {
+    Refuse(RefusalReason::kMemoryFull);
+  } else if (m_timed_out) {
     Refuse(RefusalReason::kRequestTimeout);
   } else if (error == http::error::header_limit ||
              error == http::error::buffer_overflow) {
@@ -341,6 +350,8 @@
   m_metrics.AddRefusal(reason);
   Log(LogLevel::kDebug, LogEvent::kCallerRefused,
       {{"reason", InfoOf(reason).name}});
+  m_parser.reset();
+  m_memory.Reset();
   Write(BuildRefusal(reason, ""), true);
 }
 
@@ -357,15 +368,44 @@
     response.set(http::field::connection, "keep-alive");
   }
   m_response.emplace(std::move(response));
+  m_memory.SetTo(m_response->body().capacity(), MemoryUse::kWritten);
+  m_transfer_began_at = Clock::now();
+  m_close_after_write = close;
+  m_serializer.emplace(*m_response);
+  WriteSome();
+}
+
+void CallerConnection::WriteSome() {
   m_stream.expires_after(m_limits.write_timeout);
-  http::async_write(
-      m_stream, *m_response,
-      [self = shared_from_this(), close](const error_code& error, std::size_t) {
-        self->OnWritten(error, close);
+  http::async_write_some(
+      m_stream, *m_serializer,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (!error && self->m_phase == Phase::kWriting &&
+            !self->m_serializer->is_done()) {
+          self->WriteSome();
+          return;
+        }
+        self->OnWritten(error, self->m_close_after_write);
       });
 }
 
+MemoryHolder CallerConnection::memory_held() const {
+  const bool is_held = m_phase == Phase::kReading || m_phase == Phase::kWriting;
+  return {is_held ? m_memory.bytes() : 0, m_transfer_began_at};
+}
+
+void CallerConnection::CloseForMemory() {
+  m_metrics.Add(Counter::kCallersClosedForMemory);
+  if (m_phase == Phase::kReading) {
+    m_closed_for_memory = true;
+    m_stream.cancel();
+  } else {
+    Close();
+  }
+}
+
 void CallerConnection::OnWritten(const error_code& error, bool close) {
+  m_serializer.reset();
   m_response.reset();
   m_memory.Reset();
   if (m_phase == Phase::kClosed) {
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -15,6 +15,7 @@
 #include "http/dialect.h"
 #include "http/memory_budget.h"
 #include "link/messages.h"
+#include "memory/holder_choice.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/outcome/refusal.h"
@@ -72,7 +73,7 @@
   Duration body_timeout = std::chrono::seconds(30);
   /// While waiting for the first or the next request.
   Duration idle_timeout = std::chrono::seconds(75);
-  /// For a whole reply.
+  /// Longest time in which the caller takes no byte of a reply.
   Duration write_timeout = std::chrono::seconds(30);
   /// A connection whose other end acknowledges nothing for about this long is
   /// closed by the kernel, see `SetTcpOptions`.
@@ -134,6 +135,14 @@
   /// instead of `Start`.
   void RefuseAndClose(RefusalReason reason);
 
+  /// Bytes of a body that is being read or of a reply that is being written;
+  /// none in other states, in which the caller does not keep them.
+  MemoryHolder memory_held() const;
+
+  /// Gives back what `memory_held` tells: refuses the request that is being
+  /// read, which was not run, or closes.
+  void CloseForMemory();
+
   /// Whether the connection waits for a request.
   bool idle() const { return m_phase == Phase::kIdle; }
 
@@ -143,6 +152,9 @@
   using Response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
+  using Serializer =
+      boost::beast::http::response_serializer<boost::beast::http::string_body>;
+
   enum class Phase : std::uint8_t {
     kIdle,
     kReading,
@@ -168,6 +180,7 @@
   void OnReadableDuringCall(const boost::system::error_code& error);
   void OnReply(CallerReply reply);
   void Write(Response response, bool close);
+  void WriteSome();
   void OnWritten(const boost::system::error_code& error, bool close);
   void RefuseReadError(const boost::system::error_code& error);
   void Refuse(RefusalReason reason);
@@ -186,16 +199,20 @@
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   std::optional<Response> m_response;
+  std::optional<Serializer> m_serializer;  ///< Of `m_response`.
+  TimePoint m_transfer_began_at{};         ///< Of the body or reply under way.
   CallHandle m_call;
   Phase m_phase = Phase::kIdle;
   std::size_t m_discarded_bytes = 0;        ///< Read in kLingering.
   std::vector<HttpField> m_request_fields;  ///< Of the head.
   std::string m_request_id;  ///< From `Dialect::request_id_field`, or empty.
   bool m_keep_alive = true;
+  bool m_close_after_write = false;
   bool m_stopping = false;     ///< `Stop` was called.
   bool m_has_request = false;  ///< At least one request has begun to arrive.
   bool m_from_own_vm = false;
-  bool m_timed_out = false;  ///< The read timer cancelled the read.
+  bool m_timed_out = false;          ///< The read timer cancelled the read.
+  bool m_closed_for_memory = false;  ///< `CloseForMemory` cancelled the read.
   bool m_is_head_method = false;
   unsigned m_http_version = 11;  ///< As in Beast: 10 or 11.
 };
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -239,9 +239,37 @@
 void EntryWorker::OnTick() {
   m_context.check_view_stale();
   CloseUnlistedLinks();
+  CloseMemoryHolders();
   ArmTick();
 }
 
+void EntryWorker::CloseMemoryHolders() {
+  const std::size_t excess = m_shared.budget.Excess();
+  if (excess == 0) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  std::vector<std::shared_ptr<CallerConnection>> callers;
+  std::vector<MemoryHolder> holders;
+  std::ranges::for_each(m_callers, [&](const auto& item) {
+    callers.push_back(item.second);
+    holders.push_back(item.second->memory_held());
+  });
+  std::ranges::for_each(
+      ChooseHoldersToClose(holders, excess, now), [&](std::size_t i) {
+        if (TakeLogToken(LogClass::kDecision)) {
+          Log(LogLevel::kWarning, LogEvent::kCallerClosedForMemory,
+              {{"bytes", holders[i].bytes},
+               {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - holders[i].since)
+                          .count()},
+               {"held", m_shared.budget.used()},
+               {"limit", m_shared.budget.limit()}});
+        }
+        callers[i]->CloseForMemory();
+      });
+}
+
 void EntryWorker::CloseUnlistedLinks() {
   const auto view = m_shared.view_store.Load();
   if (view->vms == nullptr || view->vms == m_links_checked_for) {
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -100,6 +100,8 @@
   /// Closes the links to nodes that the VM list does not name, except those
   /// with open offers.
   void CloseUnlistedLinks();
+  /// Closes callers that hold memory for long while memory is short.
+  void CloseMemoryHolders();
 
   EntrySharedState& m_shared;
   boost::asio::io_context m_io;
