--- a/src/libyuccamast/link/link_test.cpp
+++ b/src/libyuccamast/link/link_test.cpp
@@ -251,3 +251,130 @@
   client->Close();
   io.run_for(std::chrono::milliseconds(10));
 }
+
+// Guards against an entry that takes answers of many slow calls beyond its
+// memory: the answer waits at the exit, and short ones pass.
+Test(link, an_answer_waits_until_there_is_room) {
+  MemoryBudget budget(1U << 20U);
+  LinkOptions options;
+  options.budget = &budget;
+  ConnectedPair pair(options);
+  pair.Send("long");
+  pair.Send("short");
+  cr_assert(pair.RunUntil([&] { return pair.responders.size() == 2; }));
+  MemoryReservation other(budget, MemoryUse::kWritten);
+  other.SetTo(1U << 20U, MemoryUse::kWritten);
+  pair.responders[0].Answer(std::string(300'000, 'x'));
+  pair.responders[1].Answer("b");
+  cr_assert(pair.RunUntil([&] { return pair.answers.size() == 1; }));
+  cr_expect_eq(pair.answers[0], "b");
+  pair.io.run_for(std::chrono::milliseconds(50));
+  cr_expect_eq(pair.answers.size(), 1U);
+  other.Reset();
+  cr_assert(pair.RunUntil([&] { return pair.answers.size() == 2; }));
+  cr_expect_eq(pair.answers[1].size(), 300'000U);
+  cr_expect(pair.RunUntil([&] { return budget.used() == 0; }));
+}
+
+// Guards against a crowd of long offers to one exit. The proof that they did
+// not run lets the entry offer them elsewhere.
+Test(link, an_offer_without_room_is_not_processed) {
+  MemoryBudget budget(1U << 20U);
+  LinkOptions options;
+  options.budget = &budget;
+  ConnectedPair pair(options);
+  pair.Send(std::string(900'000, 'x'));
+  cr_assert(pair.RunUntil([&] { return pair.outcomes.size() == 1; }));
+  cr_expect(pair.outcomes[0] == StreamOutcome::kNotProcessed);
+  cr_expect(pair.received.empty());
+  pair.Send("short");
+  cr_expect(pair.RunUntil([&] { return pair.received.size() == 1; }));
+}
+
+namespace {
+
+/// Moves up to 16 KB every 2 ms from one socket to the other, by `read_some`
+/// into a small receive buffer, as a link of a few MB a second.
+struct SlowPump {
+  SlowPump(asio::io_context& io, tcp::socket& from, tcp::socket& to)
+      : m_timer(io), m_from(from), m_to(to) {
+    Step();
+  }
+  void Step() {
+    boost::system::error_code error;
+    std::array<char, 16'384> buffer{};
+    if (m_from.available(error) > 0) {
+      const std::size_t size = m_from.read_some(asio::buffer(buffer), error);
+      asio::write(m_to, asio::buffer(buffer, size), error);
+      moved += size;
+    }
+    m_timer.expires_after(std::chrono::milliseconds(2));
+    m_timer.async_wait([this](const boost::system::error_code& failure) {
+      if (!failure) {
+        Step();
+      }
+    });
+  }
+  std::size_t moved = 0;
+  asio::steady_timer m_timer;
+  tcp::socket& m_from;
+  tcp::socket& m_to;
+};
+
+}  // namespace
+
+// Guards against a download that holds up the short answers behind it on a slow
+// link: what the kernel was given can't be overtaken.
+Test(link, a_short_answer_passes_a_download_on_a_slow_link) {
+  asio::io_context io{1};
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket outer(io);
+  outer.open(tcp::v4());
+  outer.set_option(tcp::socket::receive_buffer_size(16'384));
+  outer.connect(acceptor.local_endpoint());
+  tcp::socket server_socket = acceptor.accept();
+  server_socket.set_option(tcp::socket::send_buffer_size(1 << 20));
+  tcp::socket client_socket(io);
+  client_socket.connect(acceptor.local_endpoint());
+  tcp::socket inner = acceptor.accept();
+  std::vector<StreamResponder> responders;
+  std::vector<std::size_t> answers;
+  LinkServerHooks hooks;
+  hooks.on_message = [&](LinkPath, const std::string&,
+                         const StreamResponder& responder,
+                         std::uint64_t) { responders.push_back(responder); };
+  hooks.on_cancelled = [](std::uint64_t) {};
+  const LinkOptions options;
+  auto server = std::make_shared<LinkServer>(std::move(server_socket), options,
+                                             1, std::move(hooks));
+  server->Run();
+  auto client = std::make_shared<LinkClient>(std::move(client_socket), options);
+  client->Run([] {});
+  SlowPump down(io, outer, inner);
+  SlowPump up(io, inner, outer);
+  for (int i = 0; i < 2; ++i) {
+    client->Send(LinkPath::kCall, "x",
+                 [&](StreamOutcome, const std::string& answer) {
+                   answers.push_back(answer.size());
+                 });
+  }
+  const auto run_until = [&](const std::function<bool()>& condition) {
+    const TimePoint until = Clock::now() + std::chrono::seconds(20);
+    while (!condition() && Clock::now() < until) {
+      io.run_one_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+  };
+  cr_assert(run_until([&] { return responders.size() == 2; }));
+  responders[0].Answer(std::string(500'000, 'x'));
+  cr_assert(run_until([&] { return down.moved > 100'000; }));
+  responders[1].Answer("b");
+  cr_assert(run_until([&] { return answers.size() == 2; }));
+  cr_expect_eq(answers[0], 1U);
+  cr_expect_eq(answers[1], 500'000U);
+  client->Close();
+  server->Close();
+  down.m_timer.cancel();
+  up.m_timer.cancel();
+  io.run_for(std::chrono::milliseconds(20));
+}
