Let the reservation of a body travel with its request

Cause: an entry releases a long body once it is packed, but its connection kept counting it until the reply was written, so that the exit of the same process found no room for it.

Change: the request holds the reservation, and it ends with the body.

--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -42,6 +42,7 @@
       m_limits(hooks.limits()),
       m_metrics(metrics),
       m_hooks(hooks),
+      m_budget(budget),
       m_memory(budget),
       m_buffer(ReadBufferBytes(m_limits.max_head_bytes)) {
   SetTcpOptions(m_stream.socket(), m_limits.silence);
@@ -257,6 +258,8 @@
   request.target = std::string(message.target());
   request.fields = std::exchange(m_request_fields, {});
   request.body = std::move(message.body());
+  request.memory = std::make_shared<MemoryReservation>(m_budget);
+  request.memory->TakeFrom(m_memory);
   request.from_own_vm = m_from_own_vm;
   m_metrics.Add(Counter::kCallsReceived);
   m_call = m_hooks.handle_call(std::move(request),
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -54,6 +54,7 @@
   std::string target;
   std::vector<HttpField> fields;
   std::string body;
+  std::shared_ptr<MemoryReservation> memory;  ///< For the body; may be null.
   bool from_own_vm = false;  ///< The connection comes from the node's own VM.
 };
 
@@ -195,7 +196,8 @@
   CallerLimits m_limits;  ///< Read when the wait for this request began.
   Metrics& m_metrics;
   const CallerHooks& m_hooks;
-  MemoryReservation m_memory;
+  MemoryBudget& m_budget;
+  MemoryReservation m_memory;  ///< For the body or reply under way.
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   std::optional<Response> m_response;
--- a/src/libyuccamast/memory/memory_budget.h
+++ b/src/libyuccamast/memory/memory_budget.h
@@ -162,6 +162,14 @@
     m_use = use;
   }
 
+  /// Takes over what `other` holds, of the same budget. Precondition: this
+  /// holds nothing.
+  void TakeFrom(MemoryReservation& other) {
+    m_use = other.m_use;
+    m_reserved = other.m_reserved;
+    other.m_reserved = 0;
+  }
+
   /// Releases all bytes.
   void Reset() {
     m_budget->Release(m_reserved, m_use);
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -229,7 +229,9 @@
   std::string bytes = Pack(offer, PackedSizeHint(offer.fields, offer.body));
   m_body_given_away =
       offer.body.size() > m_context.budget->limit() / kKeptBodyShare;
-  if (!m_body_given_away) {
+  if (m_body_given_away) {
+    m_request.memory.reset();
+  } else {
     m_request.body = std::move(offer.body);
   }
   return bytes;
