Derive the memory budget from the memory of the machine

Cause: memory_bytes is 64 MiB on every machine, whether it has 160 or 512 MB.

Change: the setting memory_mb, off by default; the budget is what is left of it beside 80 MB, at least a quarter. The platform's settings give it. The harness of review/ fills the new place of the template with the 260 MB at which it already ends a node; without it the settings would not parse.

--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -821,6 +821,7 @@
     Replace(text, "{{zone|json}}", quoted(m_options.zone));
     Replace(text, "{{region|json}}", quoted("region-1"));
     Replace(text, "{{service}}", m_options.service);
+    Replace(text, "{{limits.memory_mb}}", "260");
     Replace(text, "{{listen.outbound|json}}", quoted(at(m_options.outbound)));
     Replace(text, "{{listen.ready|json}}", quoted(at(m_options.ready)));
     Replace(text, "{{port_range.0}}", std::to_string(m_options.inner));
--- a/src/libyuccamast/node/settings.cpp
+++ b/src/libyuccamast/node/settings.cpp
@@ -1,5 +1,6 @@
 #include "node/settings.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
 #include "http/host_port.h"
@@ -12,6 +13,7 @@
 constexpr IntRange kThreadRange{1, 64};
 constexpr IntRange kDepthRange{1, 64};
 constexpr IntRange kBytesRange{1024, 1LL << 30};
+constexpr IntRange kMemoryRange{16, 1LL << 20};
 constexpr IntRange kCountRange{1, 1'000'000};
 constexpr IntRange kMillisRange{1, 3'600'000};
 constexpr IntRange kMicrosRange{0, 10'000'000};
@@ -196,8 +198,27 @@
             [&](ObjectReader& group) { ReadPlatform(group, settings); });
 }
 
+/// Reads the account of the node's memory.
+std::size_t ReadMemory(ObjectReader& reader, std::size_t default_bytes) {
+  const std::size_t bytes = ReadSize(reader, "memory_bytes", default_bytes);
+  if (reader.Get("memory_mb") == nullptr) {
+    return bytes;
+  }
+  const std::size_t budget = BudgetOfMachine(static_cast<std::size_t>(
+      reader.Int("memory_mb", kMemoryRange, std::nullopt)));
+  const bool is_capped = reader.Get("memory_bytes") != nullptr;
+  return is_capped ? std::min(bytes, budget) : budget;
+}
+
 }  // namespace
 
+std::size_t BudgetOfMachine(std::size_t memory_mb) {
+  constexpr std::size_t kFixedMb = 80;
+  const std::size_t least = memory_mb / 4;
+  const std::size_t left = memory_mb > kFixedMb ? memory_mb - kFixedMb : 0;
+  return std::max(left, least) << 20U;
+}
+
 Result<NodeSettings, SettingsError> ParseSettings(std::string_view text) {
   const auto json = ParseJson(text);
   if (!json) {
@@ -232,8 +253,7 @@
   settings.shared_key = reader.String("shared_key", "");
   settings.max_depth = static_cast<std::uint32_t>(
       reader.Int("max_depth", kDepthRange, settings.max_depth));
-  settings.memory_bytes =
-      ReadSize(reader, "memory_bytes", settings.memory_bytes);
+  settings.memory_bytes = ReadMemory(reader, settings.memory_bytes);
   settings.log_level =
       reader.Name<LogLevel>("log_level", LogLevelFromName, settings.log_level);
   ReadGroups(reader, &errors, settings);
--- a/src/libyuccamast/node/settings.h
+++ b/src/libyuccamast/node/settings.h
@@ -87,8 +87,10 @@
   PlatformAddress config_service;
   PlatformAddress vm_list;  ///< Of the service that returns the VM list.
   std::uint32_t entry_threads = 2;
-  std::uint32_t max_depth = 16;           ///< Of nested calls.
-  std::size_t memory_bytes = 64U << 20U;  ///< For bodies of messages.
+  std::uint32_t max_depth = 16;  ///< Of nested calls.
+  /// For bodies of messages, see `MemoryBudget`. If the file has `memory_mb`,
+  /// the memory of the machine, at most `BudgetOfMachine` of it.
+  std::size_t memory_bytes = 64U << 20U;
   LogLevel log_level = LogLevel::kInfo;
   CallerLimits caller;
   UpstreamLimits upstream_limits;
@@ -116,6 +118,12 @@
   std::vector<FieldError> fields;
 };
 
+/// The memory budget in bytes of a process that may take `memory_mb` MB in all:
+/// what is left beside a fixed part of 80 MiB, but at least a quarter. The
+/// fixed part is for code, connections and their buffers, links, the lists of a
+/// large fleet, and one message in work on each thread. Thread-safe.
+std::size_t BudgetOfMachine(std::size_t memory_mb);
+
 /// Parses and checks the text of a settings file. Returns every error that was
 /// found. Thread-safe.
 Result<NodeSettings, SettingsError> ParseSettings(std::string_view text);
--- a/src/libyuccamast/node/settings_test.cpp
+++ b/src/libyuccamast/node/settings_test.cpp
@@ -47,6 +47,26 @@
   cr_expect_eq(settings.value().vm_list.port, 9500);
 }
 
+// Guards against a node that takes more memory than its machine has, or less
+// than an operator allows.
+Test(settings, memory_of_the_machine_bounds_the_budget) {
+  const auto budget = [](const std::string& members) {
+    const auto settings = ParseSettings(Replaced("\"vm\"", members + "\"vm\""));
+    return settings ? settings.value().memory_bytes >> 20U : 0;
+  };
+  cr_expect_eq(budget(""), 64U);
+  cr_expect_eq(budget("\"memory_mb\": 160, "), 80U);
+  cr_expect_eq(budget("\"memory_mb\": 64, "), 16U);
+  cr_expect_eq(budget("\"memory_mb\": 160, \"memory_bytes\": 10485760, "), 10U);
+  for (const std::string value : {"0", "-1", "15", "1048577", "9e18"}) {
+    ExpectFault(
+        Replaced("\"vm\"", "\"memory_mb\": " + value + ", \"vm\""), "memory_mb",
+        value == "9e18" ? FieldFault::kWrongType : FieldFault::kOutOfRange);
+  }
+  ExpectFault(Replaced("\"vm\"", "\"memory_mb\": \"160\", \"vm\""), "memory_mb",
+              FieldFault::kWrongType);
+}
+
 // Guards against errors that an operator cannot locate: each must name its key,
 // with the path of the enclosing objects, and the kind of fault.
 Test(settings, each_error_names_its_key) {
