--- a/testsuite/crowd_test.cpp
+++ b/testsuite/crowd_test.cpp
@@ -225,3 +225,48 @@
       },
       1024);
 }
+
+namespace {
+
+/// Sends one body of 60 MB to the first node of a fleet whose machines have
+/// 260 MB.
+void ExpectLongBodyIsServed(const std::vector<VmSpec>& vms) {
+  constexpr std::size_t kMachineMb = 260;
+  constexpr std::size_t kLongBodyBytes = 60'000'000;
+  FleetSpec spec;
+  spec.vms = vms;
+  spec.config_files.push_back({"20-rules.json", R"({"rules": {
+    "order": {"service": "shop", "method": "POST", "path": "/order",
+              "deadline_ms": 20000}}})"});
+  spec.settings = {{"memory_mb", std::int64_t{kMachineMb}},
+                   {"caller", JsonValue::Object{{"max_body_bytes",
+                                                 std::int64_t{64 * kMiB}}}}};
+  LocalFleet fleet(spec);
+  cr_assert(fleet.WaitUntilReady());
+  const std::string body(kLongBodyBytes, 'b');
+  const auto reply = SendRequest(fleet.vm(0).caller_port, "POST", "/order",
+                                 body, "X-Load-Id: long\r\n", seconds(60));
+  cr_expect_eq(reply.status, 200U, "%s", reply.raw.c_str());
+  cr_expect_neq(reply.body.find(" got=60000000"), std::string::npos, "%s",
+                reply.body.c_str());
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    const std::size_t peak = PeakBytes(*fleet.vm(i).node);
+    cr_log_info("node %zu: %zu KiB", i + 1, peak >> 10U);
+    cr_expect_leq(peak, kMachineMb * 1'000'000);
+    cr_expect(fleet.vm(i).node->IsRunning());
+  }
+}
+
+}  // namespace
+
+// Guards against limits for crowds that refuse a single request inside the
+// limits, or a node that ends by it.
+Test(crowd, one_long_body_is_served_by_another_machine) {
+  ExpectLongBodyIsServed(
+      {{"vm-1", "front-1", "front"}, {"vm-2", "shop-2", "shop"}});
+}
+
+// The same where entry and exit are one process and share its account.
+Test(crowd, one_long_body_is_served_by_the_own_machine) {
+  ExpectLongBodyIsServed({{"vm-1", "shop-1", "shop"}});
+}
