--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -28,6 +28,8 @@
     {"callers_gone", "Callers that closed before their reply."},
     {"callers_closed_for_memory",
      "Callers closed or refused while memory was short, for what they held."},
+    {"calls_cancelled", "Calls cancelled since their caller closed."},
+    {"requests_pipelined", "Requests read behind an unanswered one."},
     {"caller_connections", "Connections accepted from callers."},
     {"caller_connections_refused", "Connections refused at the limit."},
     {"offers_received", "Offers read whole at the exit."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -33,6 +33,8 @@
   kRetriesDenied,
   kCallersGone,
   kCallersClosedForMemory,
+  kCallsCancelled,
+  kRequestsPipelined,
   kCallerConnections,
   kCallerConnectionsRefused,
   kOffersReceived,
