--- a/testsuite/crowd_test.cpp
+++ b/testsuite/crowd_test.cpp
@@ -135,12 +135,18 @@
   return text + (whole ? "0\r\n\r\n" : "0\r\n");
 }
 
-/// Plays a crowd at the first of two nodes; the upstream is beside the second.
-/// `request(i)` makes the bytes that member `i` sends.
+/// One node, the upstream beside it, or two, the upstream beside the second.
+enum class Place { kOtherMachine, kOwnMachine };
+
+/// Plays a crowd at the first node. `request(i)` makes the bytes that member
+/// `i` sends.
 void ExpectCrowdIsBorne(const std::function<std::string(std::size_t)>& request,
-                        std::size_t read_bytes) {
+                        std::size_t read_bytes,
+                        Place place = Place::kOtherMachine) {
   FleetSpec spec;
-  spec.vms.push_back({"vm-1", "front-1", "front"});
+  if (place == Place::kOtherMachine) {
+    spec.vms.push_back({"vm-1", "front-1", "front"});
+  }
   VmSpec shop{"vm-2", "shop-2", "shop"};
   shop.slots = kCrowd;
   spec.vms.push_back(shop);
@@ -161,7 +167,7 @@
   };
   cr_assert(LocalFleet::WaitFor(is_answered, seconds(10)));
   std::array<std::size_t, 2> base{};
-  for (std::size_t i = 0; i < 2; ++i) {
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
     base.at(i) = PeakBytes(*fleet.vm(i).node);
   }
   Crowd crowd;
@@ -170,13 +176,13 @@
   }
   crowd.Play(300);
   std::array<std::size_t, 2> descriptors{};
-  for (std::size_t i = 0; i < 2; ++i) {
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
     descriptors.at(i) = OpenDescriptors(*fleet.vm(i).node);
   }
   // The crowd stays open, and no longer sends or reads.
   cr_expect(LocalFleet::WaitFor(is_answered, seconds(60)),
             "an ordinary request is not answered");
-  for (std::size_t i = 0; i < 2; ++i) {
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
     Process& node = *fleet.vm(i).node;
     cr_expect(node.IsRunning(), "node %zu has ended", i + 1);
     const std::size_t grown = PeakBytes(node) - base.at(i);
@@ -189,6 +195,11 @@
   }
 }
 
+std::string GetLongReply(std::size_t /*member*/) {
+  return "GET /read?size=" + std::to_string(kReplyBytes) +
+         " HTTP/1.1\r\nHost: shop\r\n\r\n";
+}
+
 }  // namespace
 
 // Guards against a node that runs out of memory by bodies with a length of
@@ -207,23 +218,13 @@
 // Guards against a node that holds a long reply for each of many callers that
 // read nothing.
 Test(crowd, long_replies_that_are_not_read) {
-  ExpectCrowdIsBorne(
-      [](std::size_t) {
-        return "GET /read?size=" + std::to_string(kReplyBytes) +
-               " HTTP/1.1\r\nHost: shop\r\n\r\n";
-      },
-      0);
+  ExpectCrowdIsBorne(GetLongReply, 0);
 }
 
 // The same with callers that read a little at a time, so that no write stands
 // still.
 Test(crowd, long_replies_that_are_read_slowly) {
-  ExpectCrowdIsBorne(
-      [](std::size_t) {
-        return "GET /read?size=" + std::to_string(kReplyBytes) +
-               " HTTP/1.1\r\nHost: shop\r\n\r\n";
-      },
-      1024);
+  ExpectCrowdIsBorne(GetLongReply, 1024);
 }
 
 namespace {
@@ -270,3 +271,15 @@
 Test(crowd, one_long_body_is_served_by_the_own_machine) {
   ExpectLongBodyIsServed({{"vm-1", "shop-1", "shop"}});
 }
+
+// Guards against an entry and an exit in one process that wait for the room
+// that the other one holds.
+Test(crowd, long_replies_of_the_own_machine_are_not_read) {
+  ExpectCrowdIsBorne(GetLongReply, 0, Place::kOwnMachine);
+}
+
+// The same with bodies.
+Test(crowd, bodies_for_the_own_machine_that_stop_short) {
+  ExpectCrowdIsBorne([](std::size_t i) { return Post(false, i < kCrowd / 4); },
+                     0, Place::kOwnMachine);
+}
