--- a/src/libyuccamast/link/session.h
+++ b/src/libyuccamast/link/session.h
@@ -82,6 +82,9 @@
   }
 };
 
+/// Window that each stream has from its start: short messages need no grant.
+inline constexpr std::uint32_t kFreeWindowBytes = 64U << 10U;
+
 /// Kind of message on a stream, sent as the `:path` of the stream.
 enum class LinkPath : std::uint8_t { kCall, kLoad, kControl };
 
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -25,11 +25,6 @@
 /// the deadline.
 constexpr Duration kMinRemaining = std::chrono::milliseconds(1);
 
-/// A body is kept for further offers up to this part of the memory budget. A
-/// longer one is released when it was packed, so that it is held once; its call
-/// gets one offer.
-constexpr std::size_t kKeptBodyShare = 16;
-
 /// A caller's request id is used as the call's id up to this length, in bytes.
 constexpr std::size_t kMaxRequestIdLength = 64;
 
@@ -224,26 +219,6 @@
   return offer;
 }
 
-std::string EntryCall::PackOffer(const Attempt& attempt) {
-  OfferMessage offer = BuildOffer(attempt);
-  std::string bytes = Pack(offer, PackedSizeHint(offer.fields, offer.body));
-  m_body_given_away =
-      offer.body.size() > m_context.budget->limit() / kKeptBodyShare;
-  if (m_body_given_away) {
-    m_request.memory.reset();
-  } else {
-    m_request.body = std::move(offer.body);
-  }
-  return bytes;
-}
-
-bool EntryCall::HasRoomForOffer() const {
-  const std::size_t size = m_request.body.size() + kMessageOverhead;
-  return size <= m_context.settings.link.max_message_bytes &&
-         (m_request.body.size() <= kMessageOverhead ||
-          m_context.budget->HasRoom(size, MemoryUse::kOffer));
-}
-
 void EntryCall::Offer(std::size_t member) {
   ++m_offers;
   m_tried.push_back(member);
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -135,6 +135,9 @@
   if (offer.depth > m_settings.max_depth) {
     return RefusalReason::kDepthExceeded;
   }
+  if (!HasRoomForReply(offer.rule)) {
+    return RefusalReason::kMemoryFull;
+  }
   return std::nullopt;
 }
 
@@ -198,11 +201,6 @@
 
 void ExitCalls::Admit(const CallPtr& call, TimePoint now) {
   AdmissionRequest request;
-  if (!HasRoomForReply(call->offer.rule)) {
-    LogRefusedOffer(call->offer, RefusalReason::kMemoryFull);
-    AnswerRefusal(call->responder, RefusalReason::kMemoryFull);
-    return;
-  }
   request.ticket = call->ticket;
   request.deadline = call->deadline;
   request.weight =
@@ -282,10 +280,6 @@
   call->run->ExpectReply(m_reply_sizes.Of(call->offer.rule));
 }
 
-bool ExitCalls::HasRoomForReply(const std::string& rule) const {
-  return m_budget.HasRoom(m_reply_sizes.Of(rule), MemoryUse::kReply);
-}
-
 void ExitCalls::OnRunDone(const CallPtr& call, UpstreamResult result) {
   RunAfterStepHook(CallStep::kAnswered, call->offer.target,
                    [this, call, result = std::move(result)]() mutable {
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -178,6 +178,10 @@
   return request;
 }
 
+bool ExitCalls::HasRoomForReply(const std::string& rule) const {
+  return m_budget.HasRoom(m_reply_sizes.Of(rule), MemoryUse::kReply);
+}
+
 void ExitCalls::RefreshLimits() {
   const auto view = m_view_store.Load();
   if (view == m_limits_view || view->config == nullptr) {
