--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -34,6 +34,7 @@
       m_limits(hooks.limits()),
       m_metrics(metrics),
       m_hooks(hooks),
+      m_budget(budget),
       m_pipeline(budget),
       m_buffer(ReadBufferBytes(m_limits.max_head_bytes)) {
   SetTcpOptions(m_socket, m_limits.silence);
@@ -79,6 +80,8 @@
 void CallerConnection::StartCall(PendingRequest& request) {
   request.step = PendingRequest::Step::kRunning;
   const std::uint64_t id = request.id;
+  request.request.memory = std::make_shared<MemoryReservation>(m_budget);
+  request.request.memory->TakeFrom(request.memory);
   CallHandle call =
       m_hooks.handle_call(std::move(request.request),
                           [weak = weak_from_this(), id](CallerReply reply) {
@@ -118,6 +121,7 @@
   m_awaits_continue = false;
   PendingRequest& request = *m_pipeline.reading();
   request.closes = true;
+  request.memory.Reset();
   m_pipeline.Answer(request.id, {"", reason});
   WriteNext();
 }
@@ -151,14 +155,45 @@
   } else if (request->http_version == 10) {
     m_response->set(http::field::connection, "keep-alive");
   }
+  request->memory.SetTo(m_response->body().capacity(), MemoryUse::kWritten);
+  m_write_began_at = Clock::now();
+  m_serializer.emplace(*m_response);
+  WriteSome();
+}
+
+void CallerConnection::WriteSome() {
   ArmWriteTimer();
-  http::async_write(
-      m_socket, *m_response,
+  http::async_write_some(
+      m_socket, *m_serializer,
       [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (!error && self->m_phase == Phase::kOpen &&
+            !self->m_serializer->is_done()) {
+          self->WriteSome();
+          return;
+        }
         self->OnWritten(error);
       });
 }
 
+MemoryHolder CallerConnection::memory_held() const {
+  const bool is_replying = m_response.has_value();
+  return {m_pipeline.ReservedBytes(is_replying),
+          is_replying ? m_write_began_at : m_body_began_at};
+}
+
+void CallerConnection::CloseForMemory() {
+  if (m_phase != Phase::kOpen) {
+    return;
+  }
+  m_metrics.Add(Counter::kCallersClosedForMemory);
+  if (m_response || !m_parser) {
+    Close();
+    return;
+  }
+  Refuse(RefusalReason::kMemoryFull);
+  ReadOn();
+}
+
 void CallerConnection::ArmWriteTimer() {
   m_is_writing = true;
   m_write_timer.expires_after(m_limits.write_timeout);
@@ -174,6 +209,7 @@
 void CallerConnection::OnWritten(const error_code& error) {
   m_is_writing = false;
   m_write_timer.cancel();
+  m_serializer.reset();
   m_response.reset();
   if (m_phase == Phase::kClosed) {
     return;
--- a/src/libyuccamast/http/caller_input.cpp
+++ b/src/libyuccamast/http/caller_input.cpp
@@ -154,6 +154,10 @@
 bool CallerConnection::ParseSome() {
   PendingRequest& request = *m_pipeline.reading();
   const bool had_head = m_parser->is_header_done();
+  if (had_head && !ReserveBody()) {
+    Refuse(RefusalReason::kMemoryFull);
+    return true;
+  }
   error_code error;
   const std::size_t used = m_parser->put(m_buffer.data(), error);
   m_buffer.consume(used);
@@ -168,8 +172,6 @@
     RefuseReadError(error);
   } else if (!had_head && m_parser->is_header_done()) {
     OnHead();
-  } else if (!request.memory.GrowTo(m_parser->get().body().size())) {
-    Refuse(RefusalReason::kMemoryFull);
   }
   if (m_parser && m_parser->is_done()) {
     OnRequest();
@@ -177,6 +179,20 @@
   return true;
 }
 
+bool CallerConnection::ReserveBody() {
+  if (m_parser->content_length()) {
+    return true;
+  }
+  std::string& body = m_parser->get().body();
+  const std::size_t capacity =
+      GrownCapacity(body, std::nullopt, m_limits.max_body_bytes);
+  if (!m_pipeline.reading()->memory.GrowTo(capacity)) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
 std::optional<RefusalReason> CallerConnection::ValidateHead() const {
   const auto& request = m_parser->get();
   const boost::beast::string_view target = request.target();
@@ -213,6 +229,7 @@
 
 void CallerConnection::OnHead() {
   PendingRequest& request = *m_pipeline.reading();
+  m_body_began_at = Clock::now();
   const auto& head = m_parser->get();
   request.request.fields = CopyFields(head);
   request.http_version = head.version();
--- a/src/libyuccamast/http/caller_request.h
+++ b/src/libyuccamast/http/caller_request.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "http/memory_budget.h"
 #include "link/messages.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/outcome/refusal.h"
@@ -21,6 +23,7 @@
   std::string target;
   std::vector<HttpField> fields;
   std::string body;
+  std::shared_ptr<MemoryReservation> memory;  ///< For the body; may be null.
   bool from_own_vm = false;  ///< The connection comes from the node's own VM.
   /// When its last byte was read. A pipelined request may wait after that.
   TimePoint received_at{};
--- a/src/libyuccamast/http/pipeline.h
+++ b/src/libyuccamast/http/pipeline.h
@@ -61,7 +61,7 @@
   CallerRequest request;       ///< Moved away when the call is started.
   CallHandle call;
   std::optional<CallerReply> reply;
-  MemoryReservation memory;
+  MemoryReservation memory;  ///< For the body; moves with it. For the reply.
 };
 
 /// Bounds of what one connection holds.
@@ -121,6 +121,9 @@
   std::size_t deepest() const { return m_deepest; }
   /// Bytes of requests and replies held.
   std::size_t bytes() const;
+  /// Bytes reserved for the request that is being read and, if
+  /// `with_replies`, for replies that are ready or being written.
+  std::size_t ReservedBytes(bool with_replies) const;
 
  private:
   MemoryBudget& m_budget;
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -26,6 +26,8 @@
     {"calls_retried", "Idempotent calls offered again after an unknown run."},
     {"retries_denied", "Retries not made for lack of budget."},
     {"callers_gone", "Callers that closed before their reply."},
+    {"callers_closed_for_memory",
+     "Callers closed or refused while memory was short, for what they held."},
     {"calls_cancelled", "Calls cancelled since their caller closed."},
     {"requests_pipelined", "Requests read behind an unanswered one."},
     {"caller_connections", "Connections accepted from callers."},
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -115,6 +115,14 @@
                           : RefusalReason::kDeadlineNotRun);
     return;
   }
+  if (m_body_given_away) {
+    EndWithoutSuccess(if_none);
+    return;
+  }
+  if (!HasRoomForOffer()) {
+    EndWithoutSuccess(RefusalReason::kMemoryFull);
+    return;
+  }
   const RandomHook random = [this] { return m_context.random(); };
   ChoiceContext choice;
   choice.now = now;
@@ -218,7 +226,7 @@
   if (!caller_service_field.empty()) {
     SetField(offer.fields, caller_service_field, m_context.local_service());
   }
-  offer.body = m_request.body;
+  offer.body = std::move(m_request.body);
   return offer;
 }
 
@@ -236,13 +244,13 @@
   m_state.TransitionTo(CallStep::kOffered);
   OfferHooks hooks;
   hooks.on_answer = [self = shared_from_this()](StreamOutcome outcome,
-                                                const std::string& bytes) {
-    self->OnAnswer(outcome, bytes);
+                                                std::string bytes) {
+    self->OnAnswer(outcome, std::move(bytes));
   };
   hooks.needs_live_connection = !m_rule->idempotent;
   hooks.on_suspect = [self = shared_from_this()] { self->OnSuspect(); };
-  m_attempt.offer = m_attempt.link->Send(
-      LinkPath::kCall, Pack(BuildOffer(m_attempt)), std::move(hooks));
+  m_attempt.offer = m_attempt.link->Send(LinkPath::kCall, PackOffer(m_attempt),
+                                         std::move(hooks));
 }
 
 void EntryCall::EndAttempt(AttemptEnd end) {
@@ -254,7 +262,7 @@
   m_attempt.state->OnEnd(end, now - m_attempt.sent_at, now, {});
 }
 
-void EntryCall::OnAnswer(StreamOutcome outcome, const std::string& bytes) {
+void EntryCall::OnAnswer(StreamOutcome outcome, std::string bytes) {
   if (m_finished) {
     return;
   }
@@ -271,6 +279,7 @@
       break;
   }
   auto answer = Unpack<AnswerMessage>(bytes);
+  bytes = {};
   if (!answer) {
     EndAttempt(AttemptEnd::kFailed);
     OnUnknownOutcome(RefusalReason::kPeerLost);
@@ -445,14 +454,14 @@
          {"config", m_view->config->revision}});
   }
   Finish();
-  RunAfterStepHook(CallStep::kRelayed,
-                   [self = shared_from_this(), reply = std::move(reply)] {
-                     const Done done = std::move(self->m_done);
-                     self->m_done = nullptr;
-                     if (done) {
-                       done({self->m_id, reply});
-                     }
-                   });
+  RunAfterStepHook(CallStep::kRelayed, [self = shared_from_this(),
+                                        reply = std::move(reply)]() mutable {
+    const Done done = std::move(self->m_done);
+    self->m_done = nullptr;
+    if (done) {
+      done({self->m_id, std::move(reply)});
+    }
+  });
 }
 
 void EntryCall::Refuse(RefusalReason reason) {
--- a/src/libyuccamast/node/entry_call.h
+++ b/src/libyuccamast/node/entry_call.h
@@ -98,6 +98,7 @@
   std::function<TimePoint()> admit_until;
   /// Ids of the calls that run at the upstream beside this node.
   const RunningCallIds* running_call_ids = nullptr;
+  MemoryBudget* budget = nullptr;  ///< Never null while calls are handled.
   /// Refusals for want of room, by name of the service.
   std::map<std::string, RefusalShare, std::less<>> refusals{};
 };
@@ -214,10 +215,14 @@
                      RefusalReason refused_as,
                      TimePoint now) const;
   void Offer(std::size_t member);
+  /// Takes the body of the request; `PackOffer` gives it back.
   OfferMessage BuildOffer(const Attempt& attempt);
+  std::string PackOffer(const Attempt& attempt);
+  /// Whether there is memory to pack an offer.
+  bool HasRoomForOffer() const;
   /// How much earlier the exit's deadline is than the entry's.
   Duration ReplyMargin(const Attempt& attempt) const;
-  void OnAnswer(StreamOutcome outcome, const std::string& bytes);
+  void OnAnswer(StreamOutcome outcome, std::string bytes);
   void OnAnswerMessage(AnswerMessage answer);
   void OnRefusal(RefusalReason reason);
   /// Offers the call again after a delay, to members already tried too.
@@ -281,6 +286,7 @@
   std::optional<std::int64_t> m_caller_remaining_ms;  ///< As the request says.
   /// Reply with a server error, delivered if the retry fails.
   std::optional<HttpReply> m_fallback;
+  bool m_body_given_away = false;  ///< A long body, released once packed.
   bool m_may_overlap = false;
   bool m_finished = false;
 };
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "http/caller_connection.h"
-#include "http/memory_budget.h"
+#include "memory/memory_budget.h"
 #include "node/entry_call.h"
 #include "node/peer_link.h"
 #include "node/running_call_ids.h"
@@ -100,6 +100,8 @@
   /// Closes the links to nodes that the VM list does not name, except those
   /// with open offers.
   void CloseUnlistedLinks();
+  /// Closes callers that hold memory for long while memory is short.
+  void CloseMemoryHolders();
 
   EntrySharedState& m_shared;
   boost::asio::io_context m_io;
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -198,6 +198,10 @@
   ApplyStartRate("return");
 }
 
+bool ExitCalls::HasRoomForReply(const std::string& rule) const {
+  return m_budget.HasRoom(m_reply_sizes.Of(rule), MemoryUse::kReply);
+}
+
 void ExitCalls::RefreshLimits() {
   const auto view = m_view_store.Load();
   if (view == m_limits_view) {
--- a/src/libyuccamast/node/node.cpp
+++ b/src/libyuccamast/node/node.cpp
@@ -7,6 +7,7 @@
 #include <system_error>
 
 #include "log/log.h"
+#include "memory/return_freed.h"
 #include "node/bind.h"
 #include "yuccamast/version.h"
 
@@ -32,10 +33,31 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
+JsonValue MemoryToJson(const MemoryBudget& budget) {
+  JsonValue::Object json{{"bodies_used", std::uint64_t{budget.used()}},
+                         {"bodies_limit", std::uint64_t{budget.limit()}},
+                         {"failures", std::uint64_t{budget.failures()}}};
+  for (std::size_t i = 0; i < kMemoryUseNames.size(); ++i) {
+    const std::size_t held = budget.used(static_cast<MemoryUse>(i));
+    json.push_back({std::string(kMemoryUseNames.at(i)), std::uint64_t{held}});
+  }
+  return json;
+}
+
+/// The settings with `budget` as the account of the links, which is not used
+/// here. Messages may have the size that an exit could take.
+NodeSettings WithBudget(NodeSettings settings, MemoryBudget& budget) {
+  settings.link.budget = &budget;
+  settings.link.max_message_bytes =
+      std::max(settings.link.max_message_bytes,
+               MemoryBudget(settings.memory_bytes).ShareOf(MemoryUse::kOffer));
+  return settings;
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings, NodeHooks hooks)
-    : m_settings(std::move(settings)),
+    : m_settings(WithBudget(std::move(settings), m_budget)),
       m_hooks(std::move(hooks)),
       m_boot_id(NewBootId()),
       m_started_at(Clock::now()),
@@ -61,6 +83,7 @@
 Node::~Node() = default;
 
 int Node::Run() {
+  ReturnFreedMemory();
   // Before callers can connect, so that a stop never cuts them.
   ArmSignals();
   StartExitAndEntries();
@@ -381,9 +404,7 @@
       {"balance", m_view_store.BalanceToJson(Clock::now())},
       {"entries", std::move(entries)},
       {"exit", exit_ran ? *exit : JsonValue("busy")},
-      {"memory",
-       JsonValue::Object{{"bodies_used", std::uint64_t{m_budget.used()}},
-                         {"bodies_limit", std::uint64_t{m_budget.limit()}}}},
+      {"memory", MemoryToJson(m_budget)},
       {"metrics", m_metrics.ToJson()}};
 }
 
