--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Tick period while calls are queued; it is 50 ms otherwise.
-constexpr Duration kTickPeriod = std::chrono::milliseconds(5);
 /// A longer gap between checks is a pause; offers are then refused for a while.
 constexpr Duration kPauseThreshold = std::chrono::milliseconds(300);
 constexpr Duration kPauseSettleTime = std::chrono::milliseconds(50);
@@ -27,8 +25,6 @@
 /// Period of the probes while no call is held. Nothing depends on the reading
 /// then: load queries ask for a fresh one themselves.
 constexpr Duration kIdleProbePeriod = std::chrono::milliseconds(450);
-/// Probe interval while calls are queued during a slow period of the VM.
-constexpr Duration kSlowPeriodProbeInterval = std::chrono::milliseconds(25);
 constexpr std::uint32_t kFirstServerErrorStatus = 500;
 
 Duration Scale(Duration duration, double factor) {
@@ -105,20 +101,6 @@
 
 ExitCalls::~ExitCalls() = default;
 
-void ExitCalls::CheckPause(TimePoint now) {
-  const Duration pause = m_pause_detector.Check(now);
-  if (pause == Duration::zero()) {
-    return;
-  }
-  m_metrics.Add(Counter::kPauses);
-  Log(LogLevel::kWarning, LogEvent::kPauseNoticed,
-      {{"face", "exit"}, {"ms", ToMicroseconds(pause) / 1000}});
-  std::ranges::for_each(m_admission.ClearQueue(), [this](CallTicket ticket) {
-    const CallPtr call = m_calls.at(ticket);
-    RefuseCall(call, RefusalReason::kPaused);
-  });
-}
-
 std::optional<RefusalReason> ExitCalls::CheckOffer(const OfferMessage& offer,
                                                    TimePoint now) {
   if (offer.version != kLinkVersion || !IsLocalUpstream(offer.upstream)) {
@@ -463,52 +445,4 @@
   }
 }
 
-void ExitCalls::ArmTick() {
-  m_tick_timer.expires_after(
-      m_admission.queued() > 0 ? kTickPeriod : std::chrono::milliseconds(50));
-  m_tick_timer.async_wait([this](const boost::system::error_code& error) {
-    if (!error && !m_closed) {
-      OnTick();
-    }
-  });
-}
-
-void ExitCalls::OnTick() {
-  const TimePoint now = Clock::now();
-  CheckPause(now);
-  RefreshLimits();
-  ExpireUnknownRateLimit(now);
-  UpdateColdStarts(now);
-  const VmSpeed vm_speed = m_vm_speed.At(now);
-  m_admission.SetVmSpeed(vm_speed);
-  if (vm_speed.factor > 1.0 && m_admission.queued() > 0 &&
-      m_vm_speed.ReadingAge(now) >= kSlowPeriodProbeInterval) {
-    m_health_checker->ProbeNow();
-  }
-  std::ranges::for_each(m_admission.Expire(now), [&](const ExpiredCall& item) {
-    const CallPtr call = m_calls.at(item.ticket);
-    RefuseCall(call, item.reason);
-  });
-  StartQueued();
-  ArmTick();
-}
-
-void ExitCalls::StartLeaving() {
-  if (m_stopping) {
-    return;
-  }
-  m_stopping = true;
-  Log(LogLevel::kInfo, LogEvent::kNodeLeaving, {{"calls", m_calls.size()}});
-}
-
-void ExitCalls::Close() {
-  m_closed = true;
-  m_tick_timer.cancel();
-  SendPendingReports();
-  if (m_upstream != nullptr) {
-    m_health_checker->Stop();
-    m_upstream->CloseIdle();
-  }
-}
-
 }  // namespace yuccamast
