Mend what the review of the merged parts found

A momentary lack of room refused the whole queue: it waits. - A call whose body is gone, or finds no room, takes no token for a retry.

--- a/include/yuccamast/admission/cold_start_limiter.h
+++ b/include/yuccamast/admission/cold_start_limiter.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <optional>
 
 #include "yuccamast/clock.h"
 
@@ -98,7 +99,7 @@
 
   /// Starts per second at a cold upstream; 0: no limit.
   double limit() const {
-    return m_limit > 0 || !m_is_cold ? m_limit : kUnconfiguredLimit;
+    return m_limit ? *m_limit : (m_is_cold ? kUnconfiguredLimit : 0);
   }
 
   /// Starts that are possible now.
@@ -176,7 +177,7 @@
     return kWindow * static_cast<std::int64_t>(1 + index / Capacity());
   }
 
-  double m_limit = 0;
+  std::optional<double> m_limit;  ///< Not set: the configuration isn't known.
   bool m_is_cold = false;
   Duration m_cold_time{};
   TimePoint m_cold_until{};
--- a/src/libyuccamast/balance/room.cpp
+++ b/src/libyuccamast/balance/room.cpp
@@ -55,12 +55,18 @@
     const Duration service = request.expected_service > Duration::zero()
                                  ? std::min(request.expected_service, reported)
                                  : reported;
-    const Duration wait = NetworkDelay(candidate) +
-                          state.WaitWithOwnSends(request.wait_rank, service);
+    const Duration queue_wait =
+        state.WaitWithOwnSends(request.wait_rank, service);
+    const Duration wait = NetworkDelay(candidate) + queue_wait;
     const bool first = best.fresh_reports == 0;
     ++best.fresh_reports;
     best.oldest_report = std::max(best.oldest_report, age);
-    best.room = std::min(best.room, RoomAfter(state, wait, service, request));
+    // The reported service time is a mean over all rules, so with a free slot
+    // it does not prove that this call would be late.
+    const Room worst =
+        queue_wait > Duration::zero() ? Room::kNone : Room::kLate;
+    best.room =
+        std::min({best.room, worst, RoomAfter(state, wait, service, request)});
     if (first || wait < best.expected_wait) {
       best.expected_wait = wait;
       best.expected_service = service;
--- a/src/libyuccamast/balance/room_test.cpp
+++ b/src/libyuccamast/balance/room_test.cpp
@@ -205,3 +205,17 @@
     }
   }
 }
+
+// Load: none, all slots are free, but the mean service time over all rules is
+// longer than the time that a short call has left. It must not be refused.
+Test(room, idle_upstreams_have_room_for_a_call_with_little_time) {
+  Fixture fixture(4, 4);
+  fixture.ReportAll(0, Duration(), true);
+  RoomRequest request;
+  request.now = kNow;
+  request.deadline = kNow + milliseconds(60);
+  request.objective = kNow + milliseconds(50);
+  cr_expect(fixture.Assess(request) == Room::kLate);
+  fixture.ReportAll(14, milliseconds(200), true);
+  cr_expect(fixture.Assess(request) == Room::kNone);
+}
--- a/src/libyuccamast/http/caller_connection.cpp
+++ b/src/libyuccamast/http/caller_connection.cpp
@@ -214,13 +214,13 @@
   if (m_phase == Phase::kClosed) {
     return;
   }
-  if (error || m_caller_left) {
+  if (error) {
     Close();
     return;
   }
   const bool closes = m_pipeline.front().closes;
   m_pipeline.PopWritten();
-  if (closes) {
+  if (closes || m_caller_left) {
     Linger();
     return;
   }
--- a/src/libyuccamast/http/caller_input.cpp
+++ b/src/libyuccamast/http/caller_input.cpp
@@ -144,7 +144,9 @@
 void CallerConnection::ArmReadTimer(Duration limit) {
   m_timer.expires_after(limit);
   m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-    if (self->IsTimerDue(error) && self->m_parser) {
+    // The timer may be due in the same turn in which the connection was closed.
+    if (self->IsTimerDue(error) && self->m_phase == Phase::kOpen &&
+        self->m_pipeline.reading() != nullptr) {
       self->Refuse(RefusalReason::kRequestTimeout);
       self->ReadOn();
     }
--- a/src/libyuccamast/memory/memory_budget.h
+++ b/src/libyuccamast/memory/memory_budget.h
@@ -64,6 +64,9 @@
     }
     m_used.fetch_sub(bytes, std::memory_order_relaxed);
     m_failures.fetch_add(1, std::memory_order_relaxed);
+    if (use == MemoryUse::kRequest && bytes <= ShareOf(use)) {
+      m_turned_away.fetch_add(1, std::memory_order_relaxed);
+    }
     return false;
   }
 
@@ -92,18 +95,21 @@
       case MemoryUse::kRequest:
         return 5 * eighth;
       case MemoryUse::kOffer:
-      case MemoryUse::kReply:
         return 6 * eighth;
+      case MemoryUse::kReply:
+        return 7 * eighth;
       default:
         return m_limit;
     }
   }
 
   /// By how much the bytes held exceed what lets new requests in; 0 if not.
-  std::size_t Excess() const {
+  /// `is_short`: requests were turned away lately, though less is held.
+  std::size_t Excess(bool is_short = false) const {
     const std::size_t enough = m_limit / 2;
     const std::size_t now = used();
-    return now > ShareOf(MemoryUse::kRequest) ? now - enough : 0;
+    is_short = is_short || now > ShareOf(MemoryUse::kRequest);
+    return is_short && now > enough ? now - enough : 0;
   }
 
   std::size_t used() const { return m_used.load(std::memory_order_relaxed); }
@@ -116,6 +122,11 @@
   std::size_t failures() const {
     return m_failures.load(std::memory_order_relaxed);
   }
+  /// Reservations of requests that failed so far, except those that could never
+  /// succeed.
+  std::size_t turned_away() const {
+    return m_turned_away.load(std::memory_order_relaxed);
+  }
 
  private:
   std::atomic<std::size_t>& Slot(MemoryUse use) {
@@ -125,6 +136,7 @@
   const std::size_t m_limit;
   std::atomic<std::size_t> m_used{0};
   std::atomic<std::size_t> m_failures{0};
+  std::atomic<std::size_t> m_turned_away{0};
   std::array<std::atomic<std::size_t>,
              static_cast<std::size_t>(MemoryUse::kCount)>
       m_used_by{};
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -363,7 +363,8 @@
 }
 
 bool EntryCall::TryBeginRetry() {
-  if (m_ancestor_is_retry || !TryTakeRetryToken()) {
+  if (m_ancestor_is_retry || m_body_given_away || !HasRoomForOffer() ||
+      !TryTakeRetryToken()) {
     return false;
   }
   m_context.metrics.Add(Counter::kCallsRetried);
--- a/src/libyuccamast/node/entry_load_query.cpp
+++ b/src/libyuccamast/node/entry_load_query.cpp
@@ -169,10 +169,16 @@
     return std::nullopt;
   }
   ServiceRefusals().OnRefused();
+  if (m_queried.empty()) {
+    return std::nullopt;
+  }
   const TimePoint now = Clock::now();
   const RoomAssessment room = AssessQueried(0);
   RetryAfterInput input;
-  input.expected_wait = room.expected_wait;
+  // An upstream that sheds has less room than its exit reports.
+  if (reason != RefusalReason::kUpstreamShed) {
+    input.expected_wait = room.expected_wait;
+  }
   if (m_objective != TimePoint{}) {
     input.useful_time = m_objective - now - room.expected_service;
   }
--- a/src/libyuccamast/node/entry_match.cpp
+++ b/src/libyuccamast/node/entry_match.cpp
@@ -20,6 +20,10 @@
 /// low-discrepancy sequence (Fibonacci hashing).
 constexpr std::uint64_t kGoldenRatioStep = 0x9e3779b97f4a7c15U;
 
+/// Longest remaining time taken from a caller, a day; sums of times cannot
+/// overflow with it.
+constexpr std::int64_t kMaxRemainingMs = 86'400'000;
+
 }  // namespace
 
 const SplitPart& SplitSelector::Next(const std::vector<SplitPart>& parts) {
@@ -56,6 +60,7 @@
     if (!m_caller_remaining_ms) {
       return RefusalReason::kBadRequest;
     }
+    m_caller_remaining_ms = std::min(*m_caller_remaining_ms, kMaxRemainingMs);
   }
   m_nested = IsNested();
   m_ancestor_is_retry = FindField(m_request.fields, kRetryField) != nullptr;
--- a/src/libyuccamast/node/entry_worker.cpp
+++ b/src/libyuccamast/node/entry_worker.cpp
@@ -250,7 +250,10 @@
 }
 
 void EntryWorker::CloseMemoryHolders() {
-  const std::size_t excess = m_shared.budget.Excess();
+  const std::size_t turned_away = m_shared.budget.turned_away();
+  const bool is_short =
+      std::exchange(m_turned_away, turned_away) != turned_away;
+  const std::size_t excess = m_shared.budget.Excess(is_short);
   if (excess == 0) {
     return;
   }
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -118,6 +118,7 @@
   std::unordered_map<EntryCall*, std::shared_ptr<EntryCall>> m_calls;
   std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
   std::uint64_t m_link_generation = 0;  ///< Of the link added last.
+  std::size_t m_turned_away = 0;  ///< `MemoryBudget::turned_away` when checked.
   /// VM list of which `CloseUnlistedLinks` has closed all unlisted links.
   std::shared_ptr<const VmList> m_links_checked_for;
   std::thread m_thread;
--- a/src/libyuccamast/node/evacuation_test.cpp
+++ b/src/libyuccamast/node/evacuation_test.cpp
@@ -104,6 +104,18 @@
   cr_expect_not(fixture.view->evacuated);
 }
 
+// Guards against a service that is refused as emptied, since this node hears
+// nothing of the members elsewhere: more likely it is cut off from them.
+Test(evacuation, silent_members_elsewhere_are_still_tried) {
+  ViewFixture fixture;
+  fixture.Evacuate({"dc1"});
+  LivenessMap liveness;
+  liveness["10.0.0.2"].gone = true;
+  fixture.store.SetLiveness(std::make_shared<const LivenessMap>(liveness));
+  cr_expect_not(fixture.Service("ledger").evacuated);
+  cr_expect_eq(fixture.Chosen("ledger"), Vms{"10.0.0.2"});
+}
+
 // Load: the last data centre of a service is emptied. Its calls are refused at
 // once, until an upstream joins elsewhere; those of other services are not.
 Test(evacuation, service_without_another_data_centre_is_refused) {
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -432,6 +432,11 @@
 }
 
 void ExitCalls::StartQueued() {
+  // While there is no room for any reply, the queue waits: room may come with
+  // the end of a run that is still counted.
+  if (!HasRoomForQueued()) {
+    return;
+  }
   while (const auto ticket = m_admission.StartNext(Clock::now())) {
     const CallPtr call = m_calls.at(*ticket);
     call->has_slot = true;
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -189,10 +189,12 @@
   void RefuseCall(const CallPtr& call, RefusalReason reason);
   /// Removes the call from all tables.
   void Discard(const CallPtr& held_call);
-  /// Releases the slot, if the call holds one. `counts_as_sample`: its service
-  /// time goes into the averages.
   /// Whether there is memory for the reply to a call of the rule.
   bool HasRoomForReply(const std::string& rule) const;
+  /// Whether there is for that of any queued call.
+  bool HasRoomForQueued() const;
+  /// Releases the slot, if the call holds one. `counts_as_sample`: its service
+  /// time goes into the averages.
   void ReleaseSlot(const CallPtr& call, bool counts_as_sample);
   void ArmTick();
   void OnTick();
@@ -206,8 +208,8 @@
   /// on. Calls `OnDataCentreReturned` when it is taken back.
   void UpdateEvacuated(bool evacuated, TimePoint now);
   /// The data centre was emptied and is taken back: from `now` on, the rate of
-  /// starts grows step by step, see `ReturnRamp`. No effect on an upstream whose
-  /// service names no limit for cold ones.
+  /// starts grows step by step, see `ReturnRamp`. No effect on an upstream
+  /// whose service names no limit for cold ones.
   void OnDataCentreReturned(TimePoint now);
   UpstreamRequest BuildRequest(Call& call) const;
   bool IsUpstreamDraining() const {
@@ -275,8 +277,9 @@
   RateLimit m_named_limit;  ///< By the upstream.
   ReturnRamp m_return_ramp;
   std::string m_refused_cold_time;  ///< Text last logged as refused.
-  bool m_listed_leaving = false;  ///< Leaving by the platform's list.
-  bool m_evacuated = false;       ///< The operator has emptied the data centre.
+  TimePoint m_unproven_reply_at{};  ///< Health reply without a cold time.
+  bool m_listed_leaving = false;    ///< Leaving by the platform's list.
+  bool m_evacuated = false;  ///< The operator has emptied the data centre.
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_tickets;  ///< By stream key.
   /// Sequence numbers seen, by VM and boot id of the offering process.
--- a/src/libyuccamast/node/exit_cold.cpp
+++ b/src/libyuccamast/node/exit_cold.cpp
@@ -10,6 +10,14 @@
 
 namespace yuccamast {
 
+namespace {
+
+/// Least time from a health reply that tells nothing about the cold time to the
+/// next probe for that purpose.
+constexpr Duration kUnprovenProbeInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
 void ExitCalls::ApplyStartRate(std::string_view source) {
   const ColdStartLimiter& cold = m_admission.cold_starts();
   RateLimit rate = m_named_limit;
@@ -37,6 +45,9 @@
 
 void ExitCalls::OnColdTime(const Result<ColdTime, ColdTimeError>& cold,
                            TimePoint asked_at) {
+  if (cold.has_error() || !cold.value()) {
+    m_unproven_reply_at = Clock::now();
+  }
   if (cold.has_error()) {
     m_metrics.Add(Counter::kUpstreamFieldsRefused);
     if (m_refused_cold_time != cold.error().text) {
@@ -97,6 +108,7 @@
     ApplyStartRate("return");
   }
   if (m_health_checker != nullptr && !m_closed &&
+      now - m_unproven_reply_at >= kUnprovenProbeInterval &&
       m_admission.cold_starts().NeedsProof(now)) {
     m_health_checker->ProbeNow();
   }
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -22,6 +22,8 @@
 /// Starts per second until a reply tells whether the upstream limits its rate:
 /// the limit may be from before a restart of this node.
 constexpr double kUnknownRateLimit = 4;
+/// Replies up to this size may use the room that longer ones leave free.
+constexpr std::size_t kShortReplyBytes = 64U << 10U;
 /// Time without any reply after which the upstream counts as not limited.
 constexpr Duration kUnknownRateLimitTime = std::chrono::seconds(1);
 
@@ -199,7 +201,17 @@
 }
 
 bool ExitCalls::HasRoomForReply(const std::string& rule) const {
-  return m_budget.HasRoom(m_reply_sizes.Of(rule), MemoryUse::kReply);
+  const std::size_t expected = m_reply_sizes.Of(rule);
+  return m_budget.HasRoom(expected, expected <= kShortReplyBytes
+                                        ? MemoryUse::kReply
+                                        : MemoryUse::kOffer);
+}
+
+bool ExitCalls::HasRoomForQueued() const {
+  return std::ranges::any_of(m_calls, [this](const auto& item) {
+    const Call& call = *item.second;
+    return !call.has_slot && HasRoomForReply(call.offer.rule);
+  });
 }
 
 void ExitCalls::RefreshLimits() {
--- a/src/libyuccamast/node/fleet_view.cpp
+++ b/src/libyuccamast/node/fleet_view.cpp
@@ -111,7 +111,11 @@
 
 void FleetViewStore::RemoveGoneMembers(ServiceView& service,
                                        const std::vector<bool>& gone) {
-  if (std::ranges::find(gone, false) == gone.end()) {
+  bool any_left = false;
+  for (std::size_t i = 0; i < gone.size(); ++i) {
+    any_left |= !gone[i] && !service.candidates[i].state->IsEvacuated();
+  }
+  if (!any_left) {
     return;  // All seem gone: more likely this node itself is partitioned.
   }
   ServiceView kept{service.service, {}, {}, service.retry_budget};
