--- a/include/yuccamast/balance/load_report.h
+++ b/include/yuccamast/balance/load_report.h
@@ -47,7 +47,7 @@
   std::uint32_t slowness = 100;
   std::uint32_t slow_remaining_us = 0;  ///< Expected; 0: no slow period.
   /// Time for which the upstream is expected to stay cold; 0: it is warm.
-  std::uint32_t cold_remaining_us = 0;
+  std::uint32_t cold_left_us = 0;
   /// Starts per 1000 s to which the exit limits itself, since the upstream is
   /// cold or takes load again; 0: no such limit.
   std::uint32_t starts_per_ks = 0;
@@ -67,7 +67,7 @@
                  wait_us,
                  slowness,
                  slow_remaining_us,
-                 cold_remaining_us,
+                 cold_left_us,
                  starts_per_ks,
                  starts_left,
                  rank_wait_us,
--- a/include/yuccamast/balance/upstream_state.h
+++ b/include/yuccamast/balance/upstream_state.h
@@ -216,7 +216,7 @@
   std::atomic<std::int64_t> m_query_round_trip{0};  ///< Clock ticks.
   std::atomic<std::uint32_t> m_slowness{100};
   std::atomic<std::uint32_t> m_slow_remaining_us{0};
-  std::atomic<std::uint32_t> m_cold_remaining_us{0};
+  std::atomic<std::uint32_t> m_cold_left_us{0};
   std::atomic<std::uint32_t> m_starts_per_ks{0};
   std::atomic<std::uint32_t> m_starts_left{0};
   std::atomic<std::uint32_t> m_sent_since_report{0};
--- a/src/libyuccamast/balance/balance_test.cpp
+++ b/src/libyuccamast/balance/balance_test.cpp
@@ -262,7 +262,7 @@
   report.limit = 10;
   report.service_us = 5000;
   report.wait_us = static_cast<std::uint32_t>(wait.count() * 1000);
-  report.cold_remaining_us = 3'000'000;
+  report.cold_left_us = 3'000'000;
   report.starts_per_ks = 20'000;
   report.starts_left = starts_left;
   return report;
--- a/src/libyuccamast/balance/cold_fleet_test.cpp
+++ b/src/libyuccamast/balance/cold_fleet_test.cpp
@@ -40,7 +40,7 @@
     report.service_us = kService.count() * 1000;
     report.wait_us = exit.ExpectedWait(now) / std::chrono::microseconds(1);
     if (exit.rate_limit() > 0) {
-      report.cold_remaining_us = 3'000'000;
+      report.cold_left_us = 3'000'000;
       report.starts_per_ks = static_cast<std::uint32_t>(kLimit * 1000);
       report.starts_left = exit.StartsLeft(now);
     }
--- a/src/libyuccamast/balance/upstream_state.cpp
+++ b/src/libyuccamast/balance/upstream_state.cpp
@@ -85,7 +85,7 @@
   m_takes_late.store(report.takes_late, kRelaxed);
   m_slowness.store(report.slowness, kRelaxed);
   m_slow_remaining_us.store(report.slow_remaining_us, kRelaxed);
-  m_cold_remaining_us.store(report.cold_remaining_us, kRelaxed);
+  m_cold_left_us.store(report.cold_left_us, kRelaxed);
   m_starts_per_ks.store(report.starts_per_ks, kRelaxed);
   m_starts_left.store(report.starts_left, kRelaxed);
   m_sent_since_report.store(0, kRelaxed);
@@ -143,7 +143,7 @@
 }
 
 bool UpstreamState::IsReportedCold(TimePoint now) const {
-  const std::uint32_t remaining_us = m_cold_remaining_us.load(kRelaxed);
+  const std::uint32_t remaining_us = m_cold_left_us.load(kRelaxed);
   return remaining_us > 0 &&
          ReportAge(now) < std::chrono::microseconds(remaining_us);
 }
--- a/src/libyuccamast/node/exit_cold.cpp
+++ b/src/libyuccamast/node/exit_cold.cpp
@@ -121,7 +121,7 @@
     return;
   }
   constexpr double kPerThousandSeconds = 1000;
-  report.cold_remaining_us = static_cast<std::uint32_t>(
+  report.cold_left_us = static_cast<std::uint32_t>(
       ToMicroseconds(limits_starts ? cold.ColdRemaining(now) : Duration()));
   report.starts_per_ks = static_cast<std::uint32_t>(
       std::min(m_admission.rate_limit() * kPerThousandSeconds, 1e9));
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -139,7 +139,7 @@
       {"running_long", m_admission.running_long()},
       {"queued", m_admission.queued()},
       {"service_us", ToMicroseconds(m_admission.mean_short_service())},
-      {"cold_remaining_ms",
+      {"cold_left_ms",
        ToMicroseconds(m_admission.cold_starts().ColdRemaining(now)) / 1000},
       {"starts_per_s", m_admission.rate_limit()},
       {"starts_left", StartsLeftForDump(m_admission, now)},
