--- a/include/yuccamast/outcome/refusal.h
+++ b/include/yuccamast/outcome/refusal.h
@@ -62,6 +62,9 @@
   /// The operator has emptied the data centre of the upstream, or those of all
   /// upstreams of the service.
   kEvacuated,
+  kColdLimit,  ///< The upstream is cold, and its limit of starts is used up.
+  /// By fresh reports no queried exit would take the call; it was not offered.
+  kNoRoom,
 };
 
 /// Properties of a reason.
@@ -77,7 +80,7 @@
 };
 
 /// Number of enumerators of `RefusalReason`.
-inline constexpr std::size_t kRefusalReasonCount = 30;
+inline constexpr std::size_t kRefusalReasonCount = 32;
 
 /// The table of reasons, indexed by their values.
 extern const std::array<RefusalInfo, kRefusalReasonCount> kRefusalTable;
--- a/src/libyuccamast/balance/policy.cpp
+++ b/src/libyuccamast/balance/policy.cpp
@@ -15,6 +15,11 @@
 /// still receives a few calls by which its recovery is noticed.
 constexpr std::uint64_t kRecoveryProbeInterval = 64;
 
+/// Weight of the network delay against waiting and running. A call takes more
+/// than one round trip, and its body and reply use the links twice, so another
+/// data centre has to be better by more than the delay.
+constexpr int kDelayWeight = 4;
+
 /// One choice: implements the policies of `Choose`. References its arguments.
 class Chooser {
  public:
@@ -99,7 +104,7 @@
     if (m_random() % kRecoveryProbeInterval == 0) {
       options.failure_penalty = Duration::zero();
     }
-    return candidate.distance +
+    return kDelayWeight * NetworkDelay(candidate) +
            candidate.state->EstimateCost(
                m_context.now, m_context.prior_others_in_flight, options);
   }
@@ -147,6 +152,10 @@
 
 }  // namespace
 
+Duration NetworkDelay(const Candidate& candidate) {
+  return std::max(candidate.distance, candidate.state->query_round_trip());
+}
+
 std::optional<std::size_t> Choose(PolicyKind kind,
                                   std::span<const Candidate> candidates,
                                   std::span<const std::size_t> excluded,
@@ -179,6 +188,41 @@
   return chooser.BestOfSample(kSampleSize, cost);
 }
 
+std::optional<std::size_t> RequireStartRoom(
+    std::size_t chosen,
+    std::span<const Candidate> candidates,
+    std::span<const std::size_t> excluded,
+    TimePoint now,
+    TimePoint due,
+    const RandomHook& random) {
+  const auto has_room = [&](std::size_t index) {
+    const Candidate& candidate = candidates[index];
+    const Duration wait = candidate.state->StartWait(now);
+    const std::chrono::microseconds service(candidate.state->service_us());
+    return wait == Duration::zero() ||
+           now + candidate.distance + wait + service < due;
+  };
+  const auto is_fresh = [&](std::size_t index) {
+    return candidates[index].state->ReportAge(now) <=
+           EstimateOptions{}.fresh_report_age;
+  };
+  if (has_room(chosen) || !is_fresh(chosen)) {
+    return chosen;
+  }
+  const std::size_t start = random() % candidates.size();
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const std::size_t index = (start + i) % candidates.size();
+    if (candidates[index].state->IsUsable(now) &&
+        std::ranges::find(excluded, index) == excluded.end() &&
+        has_room(index) &&
+        (is_fresh(index) ||
+         candidates[index].state->StartWait(now) == Duration::zero())) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
 double SamplePrior(std::span<const Candidate> candidates,
                    const RandomHook& random) {
   if (candidates.empty()) {
--- a/src/libyuccamast/http/caller_connection.h
+++ b/src/libyuccamast/http/caller_connection.h
@@ -13,6 +13,7 @@
 #include "http/dialect.h"
 #include "http/memory_budget.h"
 #include "http/pipeline.h"
+#include "memory/holder_choice.h"
 #include "metrics/metrics.h"
 #include "yuccamast/clock.h"
 #include "yuccamast/outcome/refusal.h"
@@ -64,7 +65,7 @@
   Duration body_timeout = std::chrono::seconds(30);
   /// While waiting for the first or the next request.
   Duration idle_timeout = std::chrono::seconds(75);
-  /// For a whole reply.
+  /// Longest time in which the caller takes no byte of a reply.
   Duration write_timeout = std::chrono::seconds(30);
   /// A connection whose other end acknowledges nothing for about this long is
   /// closed by the kernel, see `SetTcpOptions`.
@@ -97,7 +98,7 @@
   std::function<bool()> leaving;
   /// Called once, when the connection was closed. The owner may release it.
   std::function<void(CallerConnection*)> on_closed;
-  /// Value for the `Retry-After` field of a refusal.
+  /// Value for the `Retry-After` field of a refusal that names none.
   std::function<Duration()> retry_after;
   /// Current limits; read again for each request.
   std::function<CallerLimits()> limits;
@@ -127,6 +128,14 @@
   /// instead of `Start`.
   void RefuseAndClose(RefusalReason reason);
 
+  /// Bytes of a body that is being read and of replies, if one is being
+  /// written; none in other states, in which the caller does not keep them.
+  MemoryHolder memory_held() const;
+
+  /// Gives back what `memory_held` tells: refuses the request that is being
+  /// read, which was not run, or closes.
+  void CloseForMemory();
+
   /// Whether the connection waits for a request.
   bool idle() const { return m_phase == Phase::kOpen && m_pipeline.empty(); }
   /// The requests that are not answered yet.
@@ -138,6 +147,9 @@
   using Response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
+  using Serializer =
+      boost::beast::http::response_serializer<boost::beast::http::string_body>;
+
   enum class Phase : std::uint8_t { kOpen, kLingering, kClosed };
 
   // Reading, in caller_input.cpp.
@@ -152,6 +164,8 @@
   void Receive();
   /// Returns false if more input is needed.
   bool ParseSome();
+  /// Reserves and allocates room for the next part of a body of unknown length.
+  bool ReserveBody();
   void BeginRequest();
   void OnHead();
   void OnRequest();
@@ -172,6 +186,7 @@
   void StartCall(PendingRequest& request);
   void OnReply(std::uint64_t id, CallerReply reply);
   void WriteNext();
+  void WriteSome();
   void ArmWriteTimer();
   void OnWritten(const boost::system::error_code& error);
   void SendContinue();
@@ -185,8 +200,8 @@
 
   // In caller_reply.cpp.
 
-  Response BuildRefusal(RefusalReason reason,
-                        const std::string& call_id,
+  /// Precondition: `refusal` holds a reason.
+  Response BuildRefusal(const CallerReply& refusal,
                         const PendingRequest& request);
   Response BuildReply(HttpReply reply,
                       const std::string& call_id,
@@ -199,10 +214,14 @@
   CallerLimits m_limits;  ///< Read when the last request began.
   Metrics& m_metrics;
   const CallerHooks& m_hooks;
+  MemoryBudget& m_budget;
   Pipeline m_pipeline;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;      ///< Of the request that is being read.
   std::optional<Response> m_response;  ///< While it is written.
+  std::optional<Serializer> m_serializer;  ///< Of `m_response`.
+  TimePoint m_body_began_at{};
+  TimePoint m_write_began_at{};
   Phase m_phase = Phase::kOpen;
   std::size_t m_discarded_bytes = 0;  ///< Read in kLingering.
   bool m_is_waiting = false;          ///< A wait for readability is pending.
--- a/src/libyuccamast/http/caller_input.cpp
+++ b/src/libyuccamast/http/caller_input.cpp
@@ -144,7 +144,9 @@
 void CallerConnection::ArmReadTimer(Duration limit) {
   m_timer.expires_after(limit);
   m_timer.async_wait([self = shared_from_this()](const error_code& error) {
-    if (self->IsTimerDue(error) && self->m_parser) {
+    // The timer may be due in the same turn in which the connection was closed.
+    if (self->IsTimerDue(error) && self->m_phase == Phase::kOpen &&
+        self->m_pipeline.reading() != nullptr) {
       self->Refuse(RefusalReason::kRequestTimeout);
       self->ReadOn();
     }
@@ -154,6 +156,10 @@
 bool CallerConnection::ParseSome() {
   PendingRequest& request = *m_pipeline.reading();
   const bool had_head = m_parser->is_header_done();
+  if (had_head && !ReserveBody()) {
+    Refuse(RefusalReason::kMemoryFull);
+    return true;
+  }
   error_code error;
   const std::size_t used = m_parser->put(m_buffer.data(), error);
   m_buffer.consume(used);
@@ -168,8 +174,6 @@
     RefuseReadError(error);
   } else if (!had_head && m_parser->is_header_done()) {
     OnHead();
-  } else if (!request.memory.GrowTo(m_parser->get().body().size())) {
-    Refuse(RefusalReason::kMemoryFull);
   }
   if (m_parser && m_parser->is_done()) {
     OnRequest();
@@ -177,6 +181,20 @@
   return true;
 }
 
+bool CallerConnection::ReserveBody() {
+  if (m_parser->content_length()) {
+    return true;
+  }
+  std::string& body = m_parser->get().body();
+  const std::size_t capacity =
+      GrownCapacity(body, std::nullopt, m_limits.max_body_bytes);
+  if (!m_pipeline.reading()->memory.GrowTo(capacity)) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
 std::optional<RefusalReason> CallerConnection::ValidateHead() const {
   const auto& request = m_parser->get();
   const boost::beast::string_view target = request.target();
@@ -213,6 +231,7 @@
 
 void CallerConnection::OnHead() {
   PendingRequest& request = *m_pipeline.reading();
+  m_body_began_at = Clock::now();
   const auto& head = m_parser->get();
   request.request.fields = CopyFields(head);
   request.http_version = head.version();
@@ -225,8 +244,12 @@
     Refuse(*reason);
     return;
   }
-  const auto length = m_parser->content_length();
-  if (length && !request.memory.GrowTo(static_cast<std::size_t>(*length))) {
+  // The head of a connection's only request is bounded by the number of
+  // connections; those of pipelined ones need the budget.
+  const std::size_t head_bytes = m_pipeline.size() > 1 ? request.held_bytes : 0;
+  const auto length =
+      static_cast<std::size_t>(m_parser->content_length().value_or(0));
+  if (!request.memory.GrowTo(std::max(head_bytes, length))) {
     Refuse(RefusalReason::kMemoryFull);
     return;
   }
--- a/src/libyuccamast/http/pipeline.cpp
+++ b/src/libyuccamast/http/pipeline.cpp
@@ -64,6 +64,7 @@
   request->call = {};
   if (const auto* http_reply = std::get_if<HttpReply>(&reply.result)) {
     request->held_bytes += http_reply->body.size();
+    request->memory.SetTo(http_reply->body.capacity(), MemoryUse::kWritten);
   }
   request->reply = std::move(reply);
   return true;
@@ -110,6 +111,16 @@
   return found == m_requests.end() ? nullptr : &*found;
 }
 
+std::size_t Pipeline::ReservedBytes(bool with_replies) const {
+  return std::transform_reduce(
+      m_requests.begin(), m_requests.end(), std::size_t{0}, std::plus<>(),
+      [&](const PendingRequest& request) {
+        const bool counts = request.step == Step::kReading ||
+                            (with_replies && IsAnswered(request));
+        return counts ? request.memory.bytes() : 0;
+      });
+}
+
 std::size_t Pipeline::bytes() const {
   return std::transform_reduce(m_requests.begin(), m_requests.end(),
                                std::size_t{0}, std::plus<>(),
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -50,6 +50,7 @@
     "upstream_fault",
     "offer_refused",
     "caller_refused",
+    "caller_closed_for_memory",
     "member_changed",
     "upstream_draining",
     "upstream_named",
@@ -70,6 +71,9 @@
     "data_centre_returned",
     "exit_evacuated",
     "exit_returned",
+    "upstream_cold",
+    "upstream_warm",
+    "upstream_field_refused",
     "internal"};
 
 std::atomic<LogLevel> g_min_level{LogLevel::kWarning};
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -62,6 +62,7 @@
   kUpstreamFault,
   kOfferRefused,
   kCallerRefused,
+  kCallerClosedForMemory,
   kMemberChanged,
   kUpstreamDraining,
   kUpstreamNamed,
@@ -82,6 +83,9 @@
   kDataCentreReturned,
   kExitEvacuated,
   kExitReturned,
+  kUpstreamCold,
+  kUpstreamWarm,
+  kUpstreamFieldRefused,
   kInternal,
 };
 
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -32,6 +32,7 @@
   kCallsRetried,
   kRetriesDenied,
   kCallersGone,
+  kCallersClosedForMemory,
   kCallsCancelled,
   kRequestsPipelined,
   kCallerConnections,
@@ -62,6 +63,8 @@
   kDocumentsFetched,
   kDocumentFetchFailures,
   kDocumentBytesSent,
+  kColdPeriods,
+  kUpstreamFieldsRefused,
   kCount,  ///< Number of counters; not a counter.
 };
 
--- a/src/libyuccamast/node/entry_call.cpp
+++ b/src/libyuccamast/node/entry_call.cpp
@@ -115,14 +115,26 @@
                           : RefusalReason::kDeadlineNotRun);
     return;
   }
+  if (m_body_given_away) {
+    EndWithoutSuccess(if_none);
+    return;
+  }
+  if (!HasRoomForOffer()) {
+    EndWithoutSuccess(RefusalReason::kMemoryFull);
+    return;
+  }
   const RandomHook random = [this] { return m_context.random(); };
   ChoiceContext choice;
   choice.now = now;
   choice.round_robin_turn = m_context.call_count;
   choice.queried = m_queried;
+  choice.options = OptionsOfCall();
   choice.prior_others_in_flight = SamplePrior(m_service->candidates, random);
-  const auto member = Choose(m_service->service.policy, m_service->candidates,
-                             m_tried, choice, random);
+  if (m_service->service.cold_start > std::chrono::milliseconds::zero()) {
+    choice.options.cold_start = m_service->service.cold_start;
+  }
+  auto member = Choose(m_service->service.policy, m_service->candidates,
+                       m_tried, choice, random);
   if (!member && if_none == RefusalReason::kPaused && m_offers < kMaxOffers) {
     OfferAgainLater(if_none);
     return;
@@ -131,6 +143,12 @@
     EndWithoutSuccess(if_none);
     return;
   }
+  member = RequireStartRoom(*member, m_service->candidates, m_tried, now,
+                            m_deadline, random);
+  if (!member) {
+    EndWithoutSuccess(m_offers == 0 ? RefusalReason::kColdLimit : if_none);
+    return;
+  }
   if (!IsWorthMoving(*member, if_none, now)) {
     EndWithoutSuccess(if_none);
     return;
@@ -156,6 +174,7 @@
                               RefusalReason refused_as,
                               TimePoint now) const {
   const bool for_load = refused_as == RefusalReason::kQueueFull ||
+                        refused_as == RefusalReason::kColdLimit ||
                         refused_as == RefusalReason::kQueueTimeout;
   if (m_offers < kUnconditionalOffers || !for_load ||
       !m_context.settings.asks_load) {
@@ -167,7 +186,7 @@
   const TimePoint due = m_objective != TimePoint{} ? m_objective : m_deadline;
   const Candidate& candidate = m_service->candidates[member];
   return now + candidate.distance +
-             candidate.state->EstimateCost(now, 0, EstimateOptions{}) <
+             candidate.state->EstimateCost(now, 0, OptionsOfCall()) <
          due;
 }
 
@@ -207,7 +226,7 @@
   if (!caller_service_field.empty()) {
     SetField(offer.fields, caller_service_field, m_context.local_service());
   }
-  offer.body = m_request.body;
+  offer.body = std::move(m_request.body);
   return offer;
 }
 
@@ -225,13 +244,13 @@
   m_state.TransitionTo(CallStep::kOffered);
   OfferHooks hooks;
   hooks.on_answer = [self = shared_from_this()](StreamOutcome outcome,
-                                                const std::string& bytes) {
-    self->OnAnswer(outcome, bytes);
+                                                std::string bytes) {
+    self->OnAnswer(outcome, std::move(bytes));
   };
   hooks.needs_live_connection = !m_rule->idempotent;
   hooks.on_suspect = [self = shared_from_this()] { self->OnSuspect(); };
-  m_attempt.offer = m_attempt.link->Send(
-      LinkPath::kCall, Pack(BuildOffer(m_attempt)), std::move(hooks));
+  m_attempt.offer = m_attempt.link->Send(LinkPath::kCall, PackOffer(m_attempt),
+                                         std::move(hooks));
 }
 
 void EntryCall::EndAttempt(AttemptEnd end) {
@@ -243,7 +262,7 @@
   m_attempt.state->OnEnd(end, now - m_attempt.sent_at, now, {});
 }
 
-void EntryCall::OnAnswer(StreamOutcome outcome, const std::string& bytes) {
+void EntryCall::OnAnswer(StreamOutcome outcome, std::string bytes) {
   if (m_finished) {
     return;
   }
@@ -260,6 +279,7 @@
       break;
   }
   auto answer = Unpack<AnswerMessage>(bytes);
+  bytes = {};
   if (!answer) {
     EndAttempt(AttemptEnd::kFailed);
     OnUnknownOutcome(RefusalReason::kPeerLost);
@@ -343,7 +363,8 @@
 }
 
 bool EntryCall::TryBeginRetry() {
-  if (m_ancestor_is_retry || !TryTakeRetryToken()) {
+  if (m_ancestor_is_retry || m_body_given_away || !HasRoomForOffer() ||
+      !TryTakeRetryToken()) {
     return false;
   }
   m_context.metrics.Add(Counter::kCallsRetried);
@@ -416,6 +437,7 @@
     m_context.metrics.Record(Latency::kAdded, elapsed - time_at_exit);
   }
   m_state.TransitionTo(CallStep::kAnswered);
+  ServiceRefusals().OnServed();
   if (reply.status >= kFirstServerErrorStatus) {
     RecordCallerFailure();
   }
@@ -433,14 +455,14 @@
          {"config", m_view->config->revision}});
   }
   Finish();
-  RunAfterStepHook(CallStep::kRelayed,
-                   [self = shared_from_this(), reply = std::move(reply)] {
-                     const Done done = std::move(self->m_done);
-                     self->m_done = nullptr;
-                     if (done) {
-                       done({self->m_id, reply});
-                     }
-                   });
+  RunAfterStepHook(CallStep::kRelayed, [self = shared_from_this(),
+                                        reply = std::move(reply)]() mutable {
+    const Done done = std::move(self->m_done);
+    self->m_done = nullptr;
+    if (done) {
+      done({self->m_id, std::move(reply)});
+    }
+  });
 }
 
 void EntryCall::Refuse(RefusalReason reason) {
@@ -454,10 +476,11 @@
   }
   LogDecision(LogLevel::kWarning, LogEvent::kCallRefused, InfoOf(reason).name,
               NameOf(InfoOf(reason).run_outcome));
+  const std::optional<Duration> retry_after = CountRefusal(reason);
   const Done done = std::move(m_done);
   m_done = nullptr;
   Finish();
-  done({m_id, reason});
+  done({m_id, reason, retry_after});
 }
 
 void EntryCall::Finish() {
--- a/src/libyuccamast/node/entry_worker.h
+++ b/src/libyuccamast/node/entry_worker.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "http/caller_connection.h"
-#include "http/memory_budget.h"
+#include "memory/memory_budget.h"
 #include "node/entry_call.h"
 #include "node/peer_link.h"
 #include "node/running_call_ids.h"
@@ -100,6 +100,8 @@
   /// Closes the links to nodes that the VM list does not name, except those
   /// with open offers.
   void CloseUnlistedLinks();
+  /// Closes callers that hold memory for long while memory is short.
+  void CloseMemoryHolders();
 
   EntrySharedState& m_shared;
   boost::asio::io_context m_io;
@@ -116,6 +118,7 @@
   std::unordered_map<EntryCall*, std::shared_ptr<EntryCall>> m_calls;
   std::map<tcp::endpoint, std::shared_ptr<PeerLink>> m_links;
   std::uint64_t m_link_generation = 0;  ///< Of the link added last.
+  std::size_t m_turned_away = 0;  ///< `MemoryBudget::turned_away` when checked.
   /// VM list of which `CloseUnlistedLinks` has closed all unlisted links.
   std::shared_ptr<const VmList> m_links_checked_for;
   std::thread m_thread;
--- a/src/libyuccamast/node/exit_calls.cpp
+++ b/src/libyuccamast/node/exit_calls.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Tick period while calls are queued; it is 50 ms otherwise.
-constexpr Duration kTickPeriod = std::chrono::milliseconds(5);
 /// A longer gap between checks is a pause; offers are then refused for a while.
 constexpr Duration kPauseThreshold = std::chrono::milliseconds(300);
 constexpr Duration kPauseSettleTime = std::chrono::milliseconds(50);
@@ -27,8 +25,6 @@
 /// Period of the probes while no call is held. Nothing depends on the reading
 /// then: load queries ask for a fresh one themselves.
 constexpr Duration kIdleProbePeriod = std::chrono::milliseconds(450);
-/// Probe interval while calls are queued during a slow period of the VM.
-constexpr Duration kSlowPeriodProbeInterval = std::chrono::milliseconds(25);
 constexpr std::uint32_t kFirstServerErrorStatus = 500;
 
 Duration Scale(Duration duration, double factor) {
@@ -66,7 +62,7 @@
         io,
         tcp::endpoint(asio::ip::make_address(settings.upstream_ip),
                       settings.upstream_port),
-        settings.upstream_limits, *settings.dialect, metrics);
+        settings.upstream_limits, *settings.dialect, metrics, budget);
     HealthCheckerHooks hooks;
     hooks.on_draining_changed = [this](bool draining) { OnDraining(draining); };
     hooks.on_health = [this](const HealthStatus& health,
@@ -76,10 +72,16 @@
     hooks.on_rate_limit = [this](const RateLimit& limit, TimePoint sent_at) {
       OnRateLimit(limit, sent_at, true);
     };
+    hooks.on_cold_time = [this](const auto& cold, TimePoint asked_at) {
+      OnColdTime(cold, asked_at);
+    };
     hooks.skip_probe = [this] {
       const TimePoint now = Clock::now();
-      return m_vm_speed.ReadingAge(now) < kFreshLoadAge ||
-             (m_calls.empty() && now - m_last_health_at < kIdleProbePeriod);
+      const bool recent = now - m_last_health_at < kIdleProbePeriod;
+      // Only the health page tells whether the upstream is cold.
+      return (m_vm_speed.ReadingAge(now) < kFreshLoadAge &&
+              (recent || m_admission.cold_starts().limit() <= 0)) ||
+             (m_calls.empty() && recent);
     };
     m_health_checker = std::make_unique<HealthChecker>(
         io, m_upstream->endpoint(), settings.health_path,
@@ -90,6 +92,7 @@
 
 void ExitCalls::Start() {
   ResetRateLimit();
+  m_admission.cold_starts().OnRestart(Clock::now());
   ArmTick();
   if (m_health_checker != nullptr) {
     m_health_checker->Start();
@@ -98,20 +101,6 @@
 
 ExitCalls::~ExitCalls() = default;
 
-void ExitCalls::CheckPause(TimePoint now) {
-  const Duration pause = m_pause_detector.Check(now);
-  if (pause == Duration::zero()) {
-    return;
-  }
-  m_metrics.Add(Counter::kPauses);
-  Log(LogLevel::kWarning, LogEvent::kPauseNoticed,
-      {{"face", "exit"}, {"ms", ToMicroseconds(pause) / 1000}});
-  std::ranges::for_each(m_admission.ClearQueue(), [this](CallTicket ticket) {
-    const CallPtr call = m_calls.at(ticket);
-    RefuseCall(call, RefusalReason::kPaused);
-  });
-}
-
 std::optional<RefusalReason> ExitCalls::CheckOffer(const OfferMessage& offer,
                                                    TimePoint now) {
   if (offer.version != kLinkVersion || !IsLocalUpstream(offer.upstream)) {
@@ -138,6 +127,9 @@
   if (offer.depth > m_settings.max_depth) {
     return RefusalReason::kDepthExceeded;
   }
+  if (!HasRoomForReply(offer.rule)) {
+    return RefusalReason::kMemoryFull;
+  }
   return std::nullopt;
 }
 
@@ -153,25 +145,27 @@
   });
 }
 
-void ExitCalls::Offer(const std::string& bytes,
+void ExitCalls::Offer(std::string bytes,
                       const StreamResponder& responder,
                       std::uint64_t stream_key) {
   const TimePoint now = Clock::now();
   CheckPause(now);
   m_metrics.Add(Counter::kOffersReceived);
   auto offer = Unpack<OfferMessage>(bytes);
+  bytes = {};
   if (!offer) {
     m_metrics.Add(Counter::kControlMessagesRefused);
     responder.Refuse();
     return;
   }
   const std::string target = offer->target;
-  RunAfterStepHook(CallStep::kOffered, target,
-                   [this, offer = std::move(*offer), responder, stream_key] {
-                     if (responder.open()) {
-                       ProcessOffer(offer, responder, stream_key);
-                     }
-                   });
+  RunAfterStepHook(
+      CallStep::kOffered, target,
+      [this, offer = std::move(*offer), responder, stream_key]() mutable {
+        if (responder.open()) {
+          ProcessOffer(std::move(offer), responder, stream_key);
+        }
+      });
 }
 
 void ExitCalls::ProcessOffer(OfferMessage offer,
@@ -212,9 +206,11 @@
   request.nested = call->offer.nested;
   request.expected_service = Scale(m_service_times.RuleMean(call->offer.rule),
                                    std::max(1.0, EstimateSlowdown(now)));
+  request.service_deviation = m_service_times.RuleDeviation(call->offer.rule);
+  request.kind = std::hash<std::string>{}(call->offer.rule);
   const AdmissionDecision decision = m_admission.Offer(request, now);
   if (decision.verdict == AdmissionVerdict::kRefused) {
-    LogRefusedOffer(call->offer, decision.reason);
+    LogRefusedOffer(call->offer, decision.reason, decision.short_room);
     AnswerRefusal(call->responder, decision.reason);
     return;
   }
@@ -255,12 +251,14 @@
       return false;
     }
     call->started_at = Clock::now();
+    m_admission.OnSent(call->ticket, call->started_at);
     if (m_running_call_ids != nullptr) {
       call->running_index = m_running_call_ids->Add(call->offer.call_id);
     }
     call->vm_slowdown = m_vm_speed.At(call->started_at).factor;
     m_metrics.Add(Counter::kRunsStarted);
     m_metrics.Record(Latency::kQueue, call->started_at - call->received_at);
+    UpdateColdStarts(call->started_at);
     return true;
   };
   hooks.reply_head = [call] { call->reply_head_read = true; };
@@ -275,13 +273,14 @@
     OnRunDone(call, std::move(result));
   };
   call->run = m_upstream->Run(BuildRequest(*call), std::move(hooks));
+  call->run->ExpectReply(m_reply_sizes.Of(call->offer.rule));
 }
 
 void ExitCalls::OnRunDone(const CallPtr& call, UpstreamResult result) {
   RunAfterStepHook(CallStep::kAnswered, call->offer.target,
-                   [this, call, result = std::move(result)] {
+                   [this, call, result = std::move(result)]() mutable {
                      if (m_calls.contains(call->ticket)) {
-                       FinishRun(call, result);
+                       FinishRun(call, std::move(result));
                      }
                    });
 }
@@ -306,6 +305,7 @@
                          now);
       m_service_times.AddSample(call->offer.rule, normalized);
     }
+    m_reply_sizes.AddSample(call->offer.rule, response->body.size());
     m_metrics.Add(Counter::kRunsFinished);
     m_metrics.Record(Latency::kUpstream, service_time);
     call->state.TransitionTo(CallStep::kAnswered);
@@ -322,7 +322,10 @@
   if (!call->reply_done) {
     call->reply_done = true;
     answer.load = MakeReport();
-    call->responder.Answer(Pack(answer));
+    std::string bytes =
+        Pack(answer, PackedSizeHint(answer.reply.fields, answer.reply.body));
+    answer.reply.body = {};
+    call->responder.Answer(std::move(bytes));
   }
   Discard(call);
   StartQueued();
@@ -429,59 +432,22 @@
 }
 
 void ExitCalls::StartQueued() {
+  // While there is no room for any reply, the queue waits: room may come with
+  // the end of a run that is still counted.
+  if (!HasRoomForQueued()) {
+    return;
+  }
   while (const auto ticket = m_admission.StartNext(Clock::now())) {
     const CallPtr call = m_calls.at(*ticket);
     call->has_slot = true;
+    if (!HasRoomForReply(call->offer.rule)) {
+      ReleaseSlot(call, false);
+      RefuseCall(call, RefusalReason::kMemoryFull);
+      continue;
+    }
     ArmDeadline(call);
     StartRun(call);
   }
 }
 
-void ExitCalls::ArmTick() {
-  m_tick_timer.expires_after(
-      m_admission.queued() > 0 ? kTickPeriod : std::chrono::milliseconds(50));
-  m_tick_timer.async_wait([this](const boost::system::error_code& error) {
-    if (!error && !m_closed) {
-      OnTick();
-    }
-  });
-}
-
-void ExitCalls::OnTick() {
-  const TimePoint now = Clock::now();
-  CheckPause(now);
-  RefreshLimits();
-  ExpireUnknownRateLimit(now);
-  const VmSpeed vm_speed = m_vm_speed.At(now);
-  m_admission.SetVmSpeed(vm_speed);
-  if (vm_speed.factor > 1.0 && m_admission.queued() > 0 &&
-      m_vm_speed.ReadingAge(now) >= kSlowPeriodProbeInterval) {
-    m_health_checker->ProbeNow();
-  }
-  std::ranges::for_each(m_admission.Expire(now), [&](const ExpiredCall& item) {
-    const CallPtr call = m_calls.at(item.ticket);
-    RefuseCall(call, item.reason);
-  });
-  StartQueued();
-  ArmTick();
-}
-
-void ExitCalls::StartLeaving() {
-  if (m_stopping) {
-    return;
-  }
-  m_stopping = true;
-  Log(LogLevel::kInfo, LogEvent::kNodeLeaving, {{"calls", m_calls.size()}});
-}
-
-void ExitCalls::Close() {
-  m_closed = true;
-  m_tick_timer.cancel();
-  SendPendingReports();
-  if (m_upstream != nullptr) {
-    m_health_checker->Stop();
-    m_upstream->CloseIdle();
-  }
-}
-
 }  // namespace yuccamast
--- a/src/libyuccamast/node/exit_calls.h
+++ b/src/libyuccamast/node/exit_calls.h
@@ -10,15 +10,17 @@
 #include <vector>
 
 #include "http/health_checker.h"
-#include "http/memory_budget.h"
 #include "http/upstream_pool.h"
 #include "link/server.h"
 #include "log/log.h"
+#include "memory/memory_budget.h"
 #include "node/fleet_view.h"
+#include "node/reply_sizes.h"
 #include "node/running_call_ids.h"
 #include "node/settings.h"
 #include "outcome/step_hook.h"
 #include "yuccamast/admission/admission.h"
+#include "yuccamast/admission/return_ramp.h"
 #include "yuccamast/admission/service_time_estimator.h"
 #include "yuccamast/admission/vm_speed_tracker.h"
 #include "yuccamast/membership/pause_detector.h"
@@ -52,6 +54,10 @@
 /// readings). `SlowdownEstimator` gives the slowdown that remains; it scales
 /// the expected service time of new calls and the reported service time.
 ///
+/// Starts at an upstream that may be cold are limited (`ColdStartLimiter`), and
+/// grow step by step when it takes load again (`ReturnRamp`), if its service
+/// names a limit for cold upstreams.
+///
 /// Everything runs on one thread, so the counts of slots and queued calls are
 /// exact and no locks are needed. The number of calls held is bounded by the
 /// slots and the queue length in force; a queued call whose time is over is
@@ -84,7 +90,7 @@
   /// Handles an offer: `bytes` is the packed `OfferMessage` that a peer sent.
   /// `stream_key` identifies the offer in `Cancel`; it is unique among the open
   /// streams. The stream of a malformed message is refused.
-  void Offer(const std::string& bytes,
+  void Offer(std::string bytes,
              const StreamResponder& responder,
              std::uint64_t stream_key);
 
@@ -171,7 +177,9 @@
   /// non-idempotent run.
   void OnDeadline(const CallPtr& call);
   void StartQueued();
-  void LogRefusedOffer(const OfferMessage& offer, RefusalReason reason) const;
+  void LogRefusedOffer(const OfferMessage& offer,
+                       RefusalReason reason,
+                       ShortRoom short_room = ShortRoom::kNone) const;
   void LogCallEvent(const Call& call,
                     LogEvent event,
                     std::string_view reason) const;
@@ -181,6 +189,10 @@
   void RefuseCall(const CallPtr& call, RefusalReason reason);
   /// Removes the call from all tables.
   void Discard(const CallPtr& held_call);
+  /// Whether there is memory for the reply to a call of the rule.
+  bool HasRoomForReply(const std::string& rule) const;
+  /// Whether there is for that of any queued call.
+  bool HasRoomForQueued() const;
   /// Releases the slot, if the call holds one. `counts_as_sample`: its service
   /// time goes into the averages.
   void ReleaseSlot(const CallPtr& call, bool counts_as_sample);
@@ -195,7 +207,9 @@
   /// When the data centre is emptied, refuses all queued calls; running ones go
   /// on. Calls `OnDataCentreReturned` when it is taken back.
   void UpdateEvacuated(bool evacuated, TimePoint now);
-  /// The data centre was emptied and is taken back.
+  /// The data centre was emptied and is taken back: from `now` on, the rate of
+  /// starts grows step by step, see `ReturnRamp`. No effect on an upstream
+  /// whose service names no limit for cold ones.
   void OnDataCentreReturned(TimePoint now);
   UpstreamRequest BuildRequest(Call& call) const;
   bool IsUpstreamDraining() const {
@@ -216,9 +230,25 @@
   void OnRateLimit(const RateLimit& limit, TimePoint sent_at, bool is_health);
   /// Limits the starts until a reply tells the limit of the upstream.
   void ResetRateLimit();
-  /// Lifts that limit if no reply came for too long.
+  /// Probes the health page while that limit holds, and lifts it if no reply
+  /// came for too long.
   void ExpireUnknownRateLimit(TimePoint now);
-  void SetRateLimit(const RateLimit& limit, std::string_view source);
+  /// Takes the limit that the upstream names; nothing: none.
+  void SetNamedLimit(const RateLimit& limit, std::string_view source);
+  /// Limits the starts to the lowest of the rates named by the upstream, borne
+  /// by a cold one, and allowed while it takes load again.
+  void ApplyStartRate(std::string_view source);
+  /// Takes what the health page says of the cold time, in reply to a probe sent
+  /// at `asked_at`.
+  void OnColdTime(const Result<ColdTime, ColdTimeError>& cold,
+                  TimePoint asked_at);
+  void OnCold(Duration remaining, TimePoint now);
+  void OnWarm(TimePoint asked_at, TimePoint now);
+  /// Advances the ramp, and probes the health page if the starts that may be
+  /// at a cold upstream need it.
+  void UpdateColdStarts(TimePoint now);
+  /// Fills in what the report says of limited starts.
+  void ReportColdStarts(LoadReport& report, TimePoint now) const;
   void OnHealthStatus(const HealthStatus& health,
                       const std::optional<UpstreamLoad>& load);
 
@@ -232,6 +262,7 @@
   std::unique_ptr<UpstreamPool> m_upstream;
   std::shared_ptr<const FleetView> m_limits_view;  ///< Of the limits in force.
   ServiceTimeEstimator m_service_times;
+  ReplySizes m_reply_sizes;
   VmSpeedTracker m_vm_speed;
   mutable SlowdownEstimator m_slowdown;      ///< Mutable: decays when read.
   std::vector<ReportDone> m_report_waiters;  ///< Wait for a load reading.
@@ -243,8 +274,12 @@
   bool m_health_names_limit = false;  ///< Health replies name the limit, too.
   bool m_limit_known = false;  ///< A reply has told whether there is one.
   TimePoint m_limit_unknown_since{};
-  bool m_listed_leaving = false;  ///< Leaving by the platform's list.
-  bool m_evacuated = false;       ///< The operator has emptied the data centre.
+  RateLimit m_named_limit;  ///< By the upstream.
+  ReturnRamp m_return_ramp;
+  std::string m_refused_cold_time;  ///< Text last logged as refused.
+  TimePoint m_unproven_reply_at{};  ///< Health reply without a cold time.
+  bool m_listed_leaving = false;    ///< Leaving by the platform's list.
+  bool m_evacuated = false;  ///< The operator has emptied the data centre.
   std::unordered_map<CallTicket, CallPtr> m_calls;
   std::unordered_map<std::uint64_t, CallTicket> m_tickets;  ///< By stream key.
   /// Sequence numbers seen, by VM and boot id of the offering process.
--- a/src/libyuccamast/node/exit_report.cpp
+++ b/src/libyuccamast/node/exit_report.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include "node/exit_call.h"
 #include "node/exit_calls.h"
@@ -9,6 +10,18 @@
 
 namespace yuccamast {
 
+namespace {
+
+/// Starts possible now; -1: not limited.
+std::int64_t StartsLeftForDump(const Admission& admission, TimePoint now) {
+  const std::size_t left = admission.StartsLeft(now);
+  return left == std::numeric_limits<std::size_t>::max()
+             ? -1
+             : static_cast<std::int64_t>(left);
+}
+
+}  // namespace
+
 LoadReport ExitCalls::MakeReport() const {
   LoadReport report;
   report.boot_id = m_boot_id;
@@ -24,9 +37,18 @@
   report.leaving = leaving() || m_evacuated;
   report.wait_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_admission.ExpectedWait(Clock::now())));
+  report.rank_wait_us = {
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(true, 0, now))),
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(false, 0, now))),
+      static_cast<std::uint32_t>(
+          ToMicroseconds(m_admission.ExpectedWait(false, 1, now)))};
+  report.takes_late = m_admission.TakesLate(now);
   report.slowness = m_vm_speed.slowness_percent();
   report.slow_remaining_us = static_cast<std::uint32_t>(
       ToMicroseconds(m_vm_speed.At(Clock::now()).slow_remaining));
+  ReportColdStarts(report, now);
   return report;
 }
 
@@ -40,7 +62,8 @@
 }
 
 void ExitCalls::LogRefusedOffer(const OfferMessage& offer,
-                                RefusalReason reason) const {
+                                RefusalReason reason,
+                                ShortRoom short_room) const {
   if (!TakeLogToken(LogClass::kDecision)) {
     return;
   }
@@ -51,6 +74,7 @@
        {"upstream", offer.upstream},
        {"named", m_reported_upstream},
        {"reason", InfoOf(reason).name},
+       {"short", NameOf(short_room)},
        {"running", m_admission.running()},
        {"queued", m_admission.queued()},
        {"slots", m_admission.limits().slots},
@@ -115,6 +139,10 @@
       {"running_long", m_admission.running_long()},
       {"queued", m_admission.queued()},
       {"service_us", ToMicroseconds(m_admission.mean_short_service())},
+      {"cold_left_ms",
+       ToMicroseconds(m_admission.cold_starts().ColdRemaining(now)) / 1000},
+      {"starts_per_s", m_admission.rate_limit()},
+      {"starts_left", StartsLeftForDump(m_admission, now)},
       {"upstream_connections",
        std::uint64_t{m_upstream == nullptr ? 0 : m_upstream->connections()}},
       {"upstream_idle",
--- a/src/libyuccamast/node/exit_upstream.cpp
+++ b/src/libyuccamast/node/exit_upstream.cpp
@@ -22,6 +22,8 @@
 /// Starts per second until a reply tells whether the upstream limits its rate:
 /// the limit may be from before a restart of this node.
 constexpr double kUnknownRateLimit = 4;
+/// Replies up to this size may use the room that longer ones leave free.
+constexpr std::size_t kShortReplyBytes = 64U << 10U;
 /// Time without any reply after which the upstream counts as not limited.
 constexpr Duration kUnknownRateLimitTime = std::chrono::seconds(1);
 
@@ -34,29 +36,25 @@
   }
 }
 
-void ExitCalls::SetRateLimit(const RateLimit& limit, std::string_view source) {
-  const TimePoint now = Clock::now();
-  const double before = m_admission.rate_limit();
-  m_admission.SetRateLimit(limit, now);
-  if (before != m_admission.rate_limit()) {
-    Log(LogLevel::kInfo, LogEvent::kUpstreamRateLimit,
-        {{"per_second", m_admission.rate_limit()},
-         {"before", before},
-         {"source", source}});
-  }
+void ExitCalls::SetNamedLimit(const RateLimit& limit, std::string_view source) {
+  m_named_limit = limit;
+  ApplyStartRate(source);
 }
 
 void ExitCalls::ResetRateLimit() {
   m_limit_known = false;
   m_limit_unknown_since = Clock::now();
   m_health_names_limit = false;
-  SetRateLimit(kUnknownRateLimit, "unknown");
+  SetNamedLimit(kUnknownRateLimit, "unknown");
 }
 
 void ExitCalls::ExpireUnknownRateLimit(TimePoint now) {
+  if (!m_limit_known && m_health_checker != nullptr) {
+    m_health_checker->ProbeNow();
+  }
   if (!m_limit_known && now - m_limit_unknown_since >= kUnknownRateLimitTime) {
     m_limit_known = true;
-    SetRateLimit(std::nullopt, "unknown");
+    SetNamedLimit(std::nullopt, "unknown");
   }
 }
 
@@ -68,7 +66,7 @@
     m_limit_known = true;
     m_limit_named_at = Clock::now();
     m_health_names_limit = m_health_names_limit || is_health;
-    SetRateLimit(limit, source);
+    SetNamedLimit(limit, source);
     return;
   }
   // A reply to an earlier request may be older than the one that named the
@@ -76,7 +74,7 @@
   const bool is_newer = !m_limit_known || sent_at > m_limit_named_at;
   if (is_newer && (!is_health || m_health_names_limit || !m_limit_known)) {
     m_limit_known = true;
-    SetRateLimit(std::nullopt, source);
+    SetNamedLimit(std::nullopt, source);
   }
 }
 
@@ -196,8 +194,24 @@
       {{"refused", queued.size()}, {"running", m_admission.running()}});
 }
 
-void ExitCalls::OnDataCentreReturned(TimePoint /*now*/) {
+void ExitCalls::OnDataCentreReturned(TimePoint now) {
   Log(LogLevel::kInfo, LogEvent::kExitReturned, {});
+  m_return_ramp.Begin(now);
+  ApplyStartRate("return");
+}
+
+bool ExitCalls::HasRoomForReply(const std::string& rule) const {
+  const std::size_t expected = m_reply_sizes.Of(rule);
+  return m_budget.HasRoom(expected, expected <= kShortReplyBytes
+                                        ? MemoryUse::kReply
+                                        : MemoryUse::kOffer);
+}
+
+bool ExitCalls::HasRoomForQueued() const {
+  return std::ranges::any_of(m_calls, [this](const auto& item) {
+    const Call& call = *item.second;
+    return !call.has_slot && HasRoomForReply(call.offer.rule);
+  });
 }
 
 void ExitCalls::RefreshLimits() {
@@ -238,6 +252,11 @@
   limits.queue_length = service->second.queue_length;
   limits.queue_limit = service->second.queue_limit;
   m_admission.SetLimits(limits);
+  const double cold_limit =
+      m_settings.cold_tolerance.LimitFor(service->second.cold_starts_per_s);
+  m_admission.cold_starts().SetLimit(cold_limit, service->second.cold_start);
+  m_return_ramp.SetBase(cold_limit);
+  ApplyStartRate("configuration");
   if (m_health_checker != nullptr && m_settings.health_path.empty()) {
     m_health_checker->SetHealthPath(service->second.health_path);
   }
--- a/src/libyuccamast/outcome/refusal.cpp
+++ b/src/libyuccamast/outcome/refusal.cpp
@@ -45,6 +45,8 @@
      false},
     {R::kMisdirected, "misdirected", 503, kNotRun, true, true, true},
     {R::kEvacuated, "evacuated", 503, kNotRun, true, true, false},
+    {R::kColdLimit, "cold_limit", 503, kNotRun, true, true, false},
+    {R::kNoRoom, "no_room", 503, kNotRun, true, false, false},
 }};
 
 const RefusalInfo& InfoOf(RefusalReason reason) {
