Count offers that wait for a connection between nodes

Cause, found by the review: a packed offer was in no account while its link connected or waited for a sign of life, up to a second, and a long body has been released by then; behind a lost machine further bodies were let in.

Change: the link reserves the bytes until it hands them to the session.

--- a/src/libyuccamast/node/peer_link.cpp
+++ b/src/libyuccamast/node/peer_link.cpp
@@ -48,6 +48,8 @@
     SendNow(id, offer);
     return id;
   }
+  offer.memory.emplace(m_options.Budget(), MemoryUse::kQueued);
+  offer.memory->SetTo(offer.bytes.capacity(), MemoryUse::kQueued);
   if (connected()) {
     m_client->NotifyOnNextReceive([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -72,6 +74,7 @@
 }
 
 void PeerLink::SendNow(OfferId id, Offer& offer) {
+  offer.memory.reset();  // The session counts the bytes from here on.
   offer.client = m_client;
   offer.stream = m_client->Send(
       offer.path, std::move(offer.bytes),
--- a/src/libyuccamast/node/peer_link.h
+++ b/src/libyuccamast/node/peer_link.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "link/client.h"
@@ -97,6 +98,8 @@
   struct Offer {
     LinkPath path = LinkPath::kCall;
     std::string bytes;  ///< Empty once sent.
+    /// For `bytes` while they wait for a connection.
+    std::optional<MemoryReservation> memory;
     OfferHooks hooks;
     std::shared_ptr<LinkClient> client;  ///< Null until sent.
     std::int32_t stream = -1;
