--- a/review/support-2/kit.hpp
+++ b/review/support-2/kit.hpp
@@ -275,6 +275,7 @@
   }
 
   const int fd;
+  const double opened_at = Now();
   std::string buffer;
   bool timed_out = false;
 };
@@ -496,13 +497,18 @@
     return m_data;
   }
 
-  /// The store is away: connections are reset and refused.
-  void GoAway() {
-    m_server.Close();
+  /// The store is away: nothing is answered, and what was asked before that is
+  /// not answered later either.
+  void GoAway(bool refuses = false) {
+    m_silent_until = 1e9;
+    if (refuses) {
+      m_server.Close();
+    }
     m_changed.notify_all();
   }
 
-  /// It comes back; with a copy, from that, and the era rises by one.
+  /// It comes back on new connections; with a copy, from that, and the era rises
+  /// by one. Connections from before stay silent.
   bool ComeBack(const Copy* copy) {
     {
       const std::lock_guard lock(m_mutex);
@@ -510,14 +516,15 @@
         m_data = *copy;
         ++m_era;
       }
+      m_silent_until = Now();
     }
-    for (int i = 0; i < 200; ++i) {
+    for (int i = 0; i < 200 && !m_server.open(); ++i) {
       if (m_server.Open()) {
-        return true;
+        break;
       }
       Sleep(0.005);
     }
-    return false;
+    return m_server.open();
   }
 
   long revision() {
@@ -547,8 +554,23 @@
                   body);
   }
 
+  bool IsSilent(const Connection& connection) const {
+    return connection.opened_at < m_silent_until;
+  }
+
+  /// Never answers; the caller gives up.
+  bool StaySilent(Connection& connection) {
+    Message ignored;
+    while (m_server.open() && connection.Read(ignored, 60)) {
+    }
+    return false;
+  }
+
   bool Handle(const Message& request, Connection& connection) {
     ++m_calls;
+    if (IsSilent(connection)) {
+      return StaySilent(connection);
+    }
     auto [path, query] = Target(request);
     if (path == "/v1/kv-watch") {
       return Watch(query, connection);
@@ -607,7 +629,7 @@
       Note("store: watch from %ld, which it does not have: 410", after);
       return Send(connection, 410, "{}");
     }
-    while (m_server.open() &&
+    while (m_server.open() && !IsSilent(connection) &&
            m_data.events.upper_bound(after) == m_data.events.end() &&
            Now() < until) {
       m_changed.wait_for(lock, std::chrono::milliseconds(20));
@@ -615,6 +637,10 @@
     if (!m_server.open()) {
       return false;
     }
+    if (IsSilent(connection)) {
+      lock.unlock();
+      return StaySilent(connection);
+    }
     std::string body = "{\"events\":[";
     bool first = true;
     for (auto at = m_data.events.upper_bound(after); at != m_data.events.end();
@@ -634,6 +660,7 @@
   std::condition_variable m_changed;
   Copy m_data;
   std::atomic<long> m_era{1};
+  std::atomic<double> m_silent_until{-1};  ///< For connections from before.
   std::atomic<long> m_calls{0};
   std::atomic<std::size_t> m_longest_watch{0};
   Server m_server;
