--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -15,7 +15,8 @@
 constexpr double kContactS = 3;      // Bound `contact`.
 constexpr double kCopyAgeS = 3;      // "some seconds old"
 constexpr double kAwayS = 1;         // "away for a moment"
-constexpr double kWatchedS = 25;
+constexpr double kWriteGapS = 0.15;  // The operator's writes after its return.
+constexpr double kWatchedS = 18;
 const char* const kHost = "hulo84.example";
 
 }  // namespace
@@ -81,11 +82,13 @@
     store.GoAway();
     Note("the store is away");
     SleepUntil(away + kAwayS);
-    // Its writers wait for it, so they are the first: the operator writes
-    // version 5 again, then the next one.
     store.ComeBack(&copy);
     Note("the store is back from the copy, revision %ld", store.revision());
+    // The operator writes version 5 again, then the next one.
+    Sleep(kWriteGapS);
     store.Put("op/config", Config(5, {pay_old, one, two}, services));
+    Note("version 5 is acknowledged again, revision %ld", store.revision());
+    Sleep(kWriteGapS);
   } else {
     SleepUntil(away + kAwayS);
   }
