Read a document of the platform although it has an odd string or number

What callers would see: once any program has written a key with half a surrogate pair to the store, or an item with a number beyond 64 bits, no node can read a page or the changes with that item. Nodes that run stay with what they had; one that starts refuses all calls.

Cause: replies of the store were parsed as strictly as the project's own files. One string or number that nobody uses made the whole reply unreadable.

Change: ParseForeignJson, for documents of other programs, reads a number that fits no type as the nearest double and half a surrogate pair as U+FFFD. The getters still refuse such a value where it is used. ParseJson is as strict as before.

The test of ParseJson is unchanged and passes.

--- a/include/yuccamast/json_value.h
+++ b/include/yuccamast/json_value.h
@@ -20,6 +20,11 @@
 /// `kMaxJsonDepth`. C and C++ comments are allowed. Parsing is iterative, so
 /// deep nesting cannot exhaust the stack.
 ///
+/// `ParseForeignJson` is for documents of other programs, in which a value that
+/// this project does not use must not make the rest unreadable: a number that
+/// fits no type becomes the nearest double, and half a surrogate pair becomes
+/// U+FFFD, the replacement character. In all else it is as strict.
+///
 /// An object is a vector of members in the order of the document; finding a key
 /// is linear.
 
@@ -128,6 +133,9 @@
 /// Parses one document, which must be the whole text. Thread-safe.
 Result<JsonValue, JsonError> ParseJson(std::string_view text);
 
+/// The same for a document of another program, see the file comment.
+Result<JsonValue, JsonError> ParseForeignJson(std::string_view text);
+
 /// Writes `value` as JSON, indented if `pretty`. Infinity and NaN, which JSON
 /// cannot express, are written as null. Thread-safe.
 std::string WriteJson(const JsonValue& value, bool pretty = false);
--- a/src/libyuccamast/json/json_value.cpp
+++ b/src/libyuccamast/json/json_value.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <cstdlib>
 #include <optional>
 
 namespace yuccamast {
@@ -48,14 +49,74 @@
              : std::nullopt;
 }
 
+/// The double that is nearest to a number that `ParseNumber` does not accept;
+/// infinity if it is larger than all of them.
+JsonValue NearestDouble(std::string_view text) {
+  return std::strtod(std::string(text).c_str(), nullptr);
+}
+
+/// The code unit that the escape sequence at `at` stands for, as in `\\u00e9`;
+/// nothing if there is none.
+std::optional<unsigned> EscapedCodeUnit(std::string_view text, std::size_t at) {
+  constexpr std::string_view kStart = "\\u";
+  constexpr std::size_t kDigits = 4;
+  if (at >= text.size() || !text.substr(at).starts_with(kStart)) {
+    return std::nullopt;
+  }
+  const std::string_view digits = text.substr(at + kStart.size(), kDigits);
+  const char* const end = digits.data() + digits.size();
+  unsigned unit = 0;
+  const auto read = std::from_chars(digits.data(), end, unit, 16);
+  return digits.size() == kDigits && read.ec == std::errc() && read.ptr == end
+             ? std::optional(unit)
+             : std::nullopt;
+}
+
+/// `text` with U+FFFD in place of each escaped surrogate without its other
+/// half.
+std::string ReplaceUnpairedSurrogates(std::string text) {
+  constexpr std::string_view kReplacement = "\\ufffd";
+  const auto is_high = [](unsigned unit) {
+    return unit >> 10U == 0xd800 >> 10;
+  };
+  const auto is_low = [](unsigned unit) { return unit >> 10U == 0xdc00 >> 10; };
+  std::size_t at = text.find('\\');
+  while (at != std::string::npos) {
+    const auto unit = EscapedCodeUnit(text, at);
+    const std::size_t next = at + kReplacement.size();
+    if (!unit) {
+      at += 2;  // Another escape sequence, such as an escaped backslash.
+    } else if (is_high(*unit) &&
+               is_low(EscapedCodeUnit(text, next).value_or(0))) {
+      at = next + kReplacement.size();
+    } else {
+      if (is_high(*unit) || is_low(*unit)) {
+        text.replace(at, kReplacement.size(), kReplacement);
+      }
+      at = next;
+    }
+    at = text.find('\\', at);
+  }
+  return text;
+}
+
+/// What to do with a number that fits no type.
+enum class LargeNumbers : std::uint8_t { kRefuse, kRound };
+
 /// Builds the tree from RapidJSON's SAX events. The names of the public methods
 /// are prescribed by RapidJSON's Handler concept; false stops the parser.
 class TreeBuilder {
  public:
+  explicit TreeBuilder(LargeNumbers large_numbers)
+      : m_large_numbers(large_numbers) {}
+
   bool Null() { return Add(JsonValue(nullptr)); }
   bool Bool(bool value) { return Add(JsonValue(value)); }
   bool RawNumber(const char* text, rapidjson::SizeType size, bool /*copy*/) {
     auto number = ParseNumber({text, size});
+    if (!number && m_large_numbers == LargeNumbers::kRound) {
+      number = NearestDouble({text, size});
+    }
     return number ? Add(std::move(*number))
                   : Fail(JsonFault::kSyntax, {text, size});
   }
@@ -134,6 +195,7 @@
     return true;
   }
 
+  const LargeNumbers m_large_numbers;
   JsonValue m_root;
   std::vector<Container> m_open_containers;  ///< Outermost first.
   /// Members of the open containers read so far, those of inner ones last. A
@@ -202,13 +264,15 @@
   return "syntax";
 }
 
-JsonResult ParseJson(std::string_view text) {
+namespace {
+
+JsonResult Parse(std::string_view text, LargeNumbers large_numbers) {
   constexpr unsigned kFlags =
       rapidjson::kParseIterativeFlag | rapidjson::kParseCommentsFlag |
       rapidjson::kParseNumbersAsStringsFlag | rapidjson::kParseStopWhenDoneFlag;
   rapidjson::MemoryStream in(text.data(), text.size());
   rapidjson::Reader reader;
-  TreeBuilder builder;
+  TreeBuilder builder(large_numbers);
   const auto parsed = reader.Parse<kFlags>(in, builder);
   if (builder.error()) {
     return *builder.error();
@@ -227,6 +291,20 @@
   return builder.TakeRoot();
 }
 
+}  // namespace
+
+JsonResult ParseJson(std::string_view text) {
+  return Parse(text, LargeNumbers::kRefuse);
+}
+
+JsonResult ParseForeignJson(std::string_view text) {
+  if (text.find("\\u") == std::string_view::npos) {
+    return Parse(text, LargeNumbers::kRound);
+  }
+  return Parse(ReplaceUnpairedSurrogates(std::string(text)),
+               LargeNumbers::kRound);
+}
+
 std::string WriteJson(const JsonValue& value, bool pretty) {
   rapidjson::StringBuffer out;
   if (pretty) {
