Let no value that the platform allows refuse a whole configuration

Cause: MergeConfiguration refuses times above 600 s, and with them the whole configuration; the platform sets no limit. The log of a node in that case: event=config_refused revision=5 file=store.json key=bounds.callers.idle_timeout_ms fault=out_of_range The same held for any other value beyond a range, decimal weights and a service that occurs twice in a split; large slots or cold times refused a registration.

Change: the ranges moved to config/config_ranges.h and exclude only what nodes cannot carry out (times up to a year, no body at all). The adapter takes the nearest value in the range, logs source_value_limited and counts source_values_limited, and scales weights.

--- a/src/libyuccamast/config/merge.cpp
+++ b/src/libyuccamast/config/merge.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 
+#include "config/config_ranges.h"
 #include "config/rule_table.h"
 #include "json/object_reader.h"
 #include "yuccamast/config/configuration.h"
@@ -159,21 +160,6 @@
   });
 }
 
-constexpr IntRange kTimeRangeMs{1, 600'000};
-constexpr IntRange kObjectiveRangeMs{0, 600'000};
-constexpr IntRange kQueueLimitRangeMs{0, 60'000};
-constexpr IntRange kQueueLengthRange{0, 10'000};
-constexpr IntRange kSlotsRange{1, 10'000};
-constexpr IntRange kShortSlotsRange{0, 9'999};
-constexpr IntRange kPriorityRange{-1000, 1000};
-constexpr IntRange kUrgencyRange{0, 1000};
-constexpr IntRange kMaxUpstreamsRange{1, 100};
-constexpr IntRange kSplitWeightRange{0, 1'000'000};
-constexpr IntRange kMaxConnectionsRange{0, 1'000'000};
-constexpr IntRange kColdStartRangeMs{0, 600'000};
-constexpr double kMaxColdStartsPerS = 1e6;
-constexpr IntRange kBytesRange{64, 1LL << 40};
-
 // Each function below reads one entry. An optional field that is absent gets
 // the default of its struct.
 
@@ -271,11 +257,12 @@
 }
 
 CallerBounds ReadCallerBounds(ObjectReader& reader) {
-  const auto bytes = [&](std::string_view key) -> std::optional<std::size_t> {
+  const auto bytes = [&](std::string_view key,
+                         IntRange range) -> std::optional<std::size_t> {
     if (reader.Get(key) == nullptr) {
       return std::nullopt;
     }
-    return static_cast<std::size_t>(reader.Int(key, kBytesRange, std::nullopt));
+    return static_cast<std::size_t>(reader.Int(key, range, std::nullopt));
   };
   const auto millis =
       [&](std::string_view key) -> std::optional<std::chrono::milliseconds> {
@@ -285,8 +272,8 @@
     return reader.Millis(key, kTimeRangeMs, std::nullopt);
   };
   CallerBounds bounds;
-  bounds.max_head_bytes = bytes("max_head_bytes");
-  bounds.max_body_bytes = bytes("max_body_bytes");
+  bounds.max_head_bytes = bytes("max_head_bytes", kHeadBytesRange);
+  bounds.max_body_bytes = bytes("max_body_bytes", kBodyBytesRange);
   bounds.head_timeout = millis("head_timeout_ms");
   bounds.idle_timeout = millis("idle_timeout_ms");
   return bounds;
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -62,6 +62,7 @@
     "source_call_failed",
     "source_item_refused",
     "source_word_unknown",
+    "source_value_limited",
     "config_read",
     "document_fetched",
     "document_fetch_failed",
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -74,6 +74,7 @@
   kSourceCallFailed,
   kSourceItemRefused,
   kSourceWordUnknown,
+  kSourceValueLimited,
   kConfigRead,
   kDocumentFetched,
   kDocumentFetchFailed,
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -49,6 +49,9 @@
     {"source_items_refused", "Items of the source that cannot be understood."},
     {"source_words_unknown",
      "Unknown words in items of the source, read conservatively."},
+    {"source_values_limited",
+     "Values of the configuration beyond the range that nodes can use, read as "
+     "the nearest one in it."},
     {"data_centres_evacuated", "Data centres that the operator emptied."},
     {"data_centres_returned", "Emptied data centres that were taken back."},
     {"control_bytes_sent", "Bytes of control messages sent to peers."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -53,6 +53,7 @@
   kVmListReads,
   kSourceItemsRefused,
   kSourceWordsUnknown,
+  kSourceValuesLimited,
   kDataCentresEvacuated,
   kDataCentresReturned,
   kControlBytesSent,
