Never continue a watch of the store across a restore

What callers saw: in a drill the store was silent for 1 s and came back from a copy 3 s old.

Cause: the watch went on from the revision that it had reached before. The restored store had given out that revision again, so it had nothing to report. The era in each reply was not read. Trace of a node in the case, by the debug event that was added to tell the hypotheses apart: source_read what=events after=6 era=1 revision=7 items=1 source_call_failed fault=silent source_read what=events after=7 era=2 revision=7 items=0 (again and again) Lists of the restored store had lower revisions, too, and were ignored.

Change: the watcher keeps the era beside the revision. A reply of a later era starts the range again, one of an earlier or malformed era is not used, and a revision that goes back without an era starts the range again. HeldVersion and VmList have an era, which is compared first. What a restored list does not have yet is retained as after an outage, and upstreams that had left stay out of use for 5 s (DepartedUpstreams).

--- a/include/yuccamast/membership/member.h
+++ b/include/yuccamast/membership/member.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "yuccamast/clock.h"
@@ -59,13 +61,21 @@
 bool IsNewer(const MemberRecord& a, const MemberRecord& b);
 
 /// Version of a published document (configuration or VM list) held by a node.
-/// Ordered by revision, then digest.
+/// Ordered by era, then revision, then digest. The era rises when the publisher
+/// is restored from a backup and may give out revisions again. It is 0 if the
+/// publisher names none, in messages of nodes that do not know of eras, and for
+/// a configuration, whose revisions are the operator's and never go back.
 struct HeldVersion {
   std::uint64_t revision = 0;
   std::string digest;
-
-  auto operator<=>(const HeldVersion&) const = default;
-  MSGPACK_DEFINE(revision, digest)
+  std::uint64_t era = 0;
+
+  bool operator==(const HeldVersion&) const = default;
+  std::strong_ordering operator<=>(const HeldVersion& other) const {
+    return std::tie(era, revision, digest) <=>
+           std::tie(other.era, other.revision, other.digest);
+  }
+  MSGPACK_DEFINE(revision, digest, era)
 };
 
 /// A contact of a node with the platform: the last time at which the node would
--- a/src/libyuccamast/log/log.cpp
+++ b/src/libyuccamast/log/log.cpp
@@ -60,6 +60,8 @@
     "log_suppressed",
     "log_dropped",
     "source_call_failed",
+    "source_read",
+    "source_restored",
     "source_item_refused",
     "source_word_unknown",
     "source_value_limited",
--- a/src/libyuccamast/log/log.h
+++ b/src/libyuccamast/log/log.h
@@ -72,6 +72,8 @@
   kLogSuppressed,
   kLogDropped,
   kSourceCallFailed,
+  kSourceRead,
+  kSourceRestored,
   kSourceItemRefused,
   kSourceWordUnknown,
   kSourceValueLimited,
--- a/src/libyuccamast/metrics/metrics.cpp
+++ b/src/libyuccamast/metrics/metrics.cpp
@@ -52,6 +52,8 @@
     {"source_values_limited",
      "Values of the configuration beyond the range that nodes can use, read as "
      "the nearest one in it."},
+    {"source_restores",
+     "Times that the service of the VM list was restored from a copy."},
     {"data_centres_evacuated", "Data centres that the operator emptied."},
     {"data_centres_returned", "Emptied data centres that were taken back."},
     {"control_bytes_sent", "Bytes of control messages sent to peers."},
--- a/src/libyuccamast/metrics/metrics.h
+++ b/src/libyuccamast/metrics/metrics.h
@@ -54,6 +54,7 @@
   kSourceItemsRefused,
   kSourceWordsUnknown,
   kSourceValuesLimited,
+  kSourceRestores,
   kDataCentresEvacuated,
   kDataCentresReturned,
   kControlBytesSent,
--- a/src/libyuccamast/node/control_plane.cpp
+++ b/src/libyuccamast/node/control_plane.cpp
@@ -25,9 +25,6 @@
 constexpr Duration kUnconfiguredReadDelay = std::chrono::seconds(3);
 /// Maximum time for which the view stays marked stale after a pause.
 constexpr Duration kMaxStaleTime = std::chrono::seconds(2);
-/// A list that lost more than half of the VMs is accepted when this many
-/// consecutive reads returned such a list.
-constexpr std::size_t kShrunkenListReads = 5;
 /// Upstreams whose entries expired during an outage of the service that holds
 /// the list are registered again within this time of its return.
 constexpr Duration kVmListRetentionPeriod = std::chrono::milliseconds(2200);
@@ -159,29 +156,6 @@
   return hooks;
 }
 
-void ControlPlane::OnSourceReachable(bool reachable) {
-  const TimePoint now = Clock::now();
-  if (!m_settings.upstreams_listed || m_vm_list == nullptr) {
-    return;
-  }
-  if (!reachable) {
-    m_vm_list_retention.OnSourceLost(m_vm_list);
-  } else if (m_vm_list_retention.is_retaining()) {
-    m_vm_list_retention.OnSourceRegained(now);
-  }
-}
-
-void ControlPlane::ApplyVmList(TimePoint now) {
-  std::vector<ListedMember> listed;
-  std::ranges::transform(m_vm_list->vms, std::back_inserter(listed),
-                         [](const VmRecord& vm) {
-                           return ListedMember{vm.id, vm.ip, vm.inner_port,
-                                               vm.data_centre, vm.region};
-                         });
-  m_membership.SetListed(listed, now);
-  m_view_store.SetVms(m_vm_list);
-}
-
 bool ControlPlane::IsAllowedSender(const std::string& ip) const {
   if (m_vm_list == nullptr || m_settings.upstreams_listed) {
     // No list yet, or one that names only VMs with an upstream, which a node
@@ -202,11 +176,10 @@
     m_fetcher.OnNewerHeard(DocumentKind::kConfig, Clock::now());
     m_fetcher.Fetch(DocumentKind::kConfig, {holder, config});
   }
-  if (vm_list.revision > m_vm_list_version.revision &&
+  if (vm_list > m_vm_list_version &&
       vm_list.digest == m_vm_list_version.digest) {
-    m_vm_list_version = vm_list;  // Same content at a newer revision.
+    SetVmListVersion(vm_list);  // Same content in a newer version.
     m_documents.SetVersion(DocumentKind::kVmList, vm_list);
-    m_membership.SetVmListVersion(m_vm_list_version);
   } else if (vm_list > m_vm_list_version) {
     FetchVmList({holder, vm_list});
   }
@@ -252,6 +225,7 @@
   }
   auto list = ParseVmList(document.text);
   if (list) {
+    list.value().era = document.version.era;
     list.value().revision = document.version.revision;
     SubmitVmList(std::move(list.value()));
   }
@@ -337,40 +311,20 @@
   }
 }
 
-void ControlPlane::OnSourceVmList(VmList list) {
-  const std::size_t before = m_vm_list == nullptr ? 0 : m_vm_list->vms.size();
-  if (!m_source.is_strongly_consistent && list.vms.size() * 2 < before &&
-      ++m_shrunken_list_reads < kShrunkenListReads) {
-    Log(LogLevel::kWarning, LogEvent::kVmListRefused,
-        {{"vms", list.vms.size()}, {"before", before}});
-    return;
-  }
-  m_shrunken_list_reads = 0;
-  m_source_list = std::make_shared<const VmList>(std::move(list));
-  SubmitSourceVmList();
-}
-
-void ControlPlane::SubmitSourceVmList() {
-  if (m_source_list == nullptr) {
-    return;
-  }
-  SubmitVmList(m_vm_list_retention.ApplyVersioned(m_source_list));
-}
-
 void ControlPlane::SubmitVmList(VmList list) {
-  // The digest leaves the revision out: the same VMs read at another revision
-  // are recognised as the same list.
+  // The digest leaves era and revision out: the same VMs read at another
+  // revision are recognised as the same list.
   VmList unversioned = list;
+  unversioned.era = 0;
   unversioned.revision = 0;
   std::string text = WriteVmList(unversioned);
-  const HeldVersion version{list.revision, DigestOf({{"vms", text}})};
+  const HeldVersion version{list.revision, DigestOf({{"vms", text}}), list.era};
   if (m_vm_list != nullptr && version <= m_vm_list_version) {
     return;
   }
   const bool same =
       m_vm_list != nullptr && version.digest == m_vm_list_version.digest;
-  m_vm_list_version = version;
-  m_membership.SetVmListVersion(version);
+  SetVmListVersion(version);
   if (same) {
     m_documents.SetVersion(DocumentKind::kVmList, version);
     return;
@@ -378,6 +332,7 @@
   const auto before =
       std::exchange(m_vm_list, std::make_shared<const VmList>(std::move(list)));
   const TimePoint now = Clock::now();
+  m_departed_upstreams.OnList(before.get(), *m_vm_list, now);
   ApplyVmList(now);
   m_documents.Publish(DocumentKind::kVmList, version, std::move(text));
   m_remote_holder.reset();
@@ -387,7 +342,9 @@
     m_membership.Join(kJoinPeerCount + 2, now);
   }
   Log(LogLevel::kInfo, LogEvent::kVmListAccepted,
-      {{"revision", version.revision}, {"vms", m_vm_list->vms.size()}});
+      {{"revision", version.revision},
+       {"era", version.era},
+       {"vms", m_vm_list->vms.size()}});
   ReportEvacuations(before.get());
 }
 
@@ -470,6 +427,9 @@
   if (m_vm_list_retention.EndIfExpired(now)) {
     SubmitSourceVmList();
   }
+  if (m_departed_upstreams.EndIfExpired(now)) {
+    ApplyVmList(now);
+  }
   UpdateReaderRole(now);
   if (m_pending_config && MayApplySourceConfig()) {
     const PublishedConfig config = std::move(*m_pending_config);
--- a/src/libyuccamast/node/control_plane.h
+++ b/src/libyuccamast/node/control_plane.h
@@ -14,6 +14,7 @@
 #include "node/gossip_socket.h"
 #include "node/reader_role.h"
 #include "node/settings.h"
+#include "source/departed_upstreams.h"
 #include "source/platform_watcher.h"
 #include "source/vm_list_retention.h"
 #include "yuccamast/config/config_selector.h"
@@ -48,6 +49,10 @@
 ///   list, unless the source is strongly consistent.
 /// - `VmListRetention` keeps VMs and upstreams that vanish from the list in an
 ///   outage of the platform, until a grace period after the outage is over.
+/// - A VM list of a later era replaces one of an earlier era whatever their
+///   revisions: the service was restored from a copy. What the copy does not
+///   know yet is retained as after an outage, and upstreams that had left
+///   before stay out of use (`DepartedUpstreams`).
 /// - After a pause of the process the view is marked stale until the node has
 ///   heard from peers and its fetches are over, or until a time limit.
 ///
@@ -105,6 +110,9 @@
   void OnSourceReachable(bool reachable);
   /// Passes the VM list in use on to the membership and the view store.
   void ApplyVmList(TimePoint now);
+  /// Sets the version of the list in use, before that list is applied. A later
+  /// era means that the service was restored from a copy.
+  void SetVmListVersion(const HeldVersion& version);
   /// Whether gossip from this address is accepted.
   bool IsAllowedSender(const std::string& ip) const;
   /// Fetches from `holder` each document of which it holds a newer version
@@ -164,6 +172,7 @@
   const SourceFactory m_make_source;
   PlatformSource m_source;
   VmListRetention m_vm_list_retention;
+  DepartedUpstreams m_departed_upstreams;
   DocumentStore m_documents;
   DocumentFetcher m_fetcher;
   /// Peer in another data centre with a newer VM list, and since when.
--- a/src/libyuccamast/node/control_report.cpp
+++ b/src/libyuccamast/node/control_report.cpp
@@ -86,6 +86,7 @@
       {"vm_list_reachable",
        m_source.vm_list_reachable && m_source.vm_list_reachable()},
       {"vm_list_revision", m_vm_list_version.revision},
+      {"vm_list_era", m_vm_list_version.era},
       {"evacuated", std::move(evacuated)}};
 }
 
--- a/src/libyuccamast/node/document_store_test.cpp
+++ b/src/libyuccamast/node/document_store_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "node/document_codec.h"
+#include "source/published.h"
 
 using namespace yuccamast;  // NOLINT
 
@@ -12,6 +13,13 @@
 
 constexpr std::size_t kNoLimit = 1U << 30U;
 
+/// A `HeldVersion` as nodes sent it before it had an era.
+struct EarlierVersion {
+  std::uint64_t revision = 0;
+  std::string digest;
+  MSGPACK_DEFINE(revision, digest)
+};
+
 /// A document with `entries` lines that do not resemble each other.
 std::string MakeText(std::size_t entries) {
   std::mt19937 random(1);
@@ -111,3 +119,41 @@
   cr_expect_not(holder.Answer(Pack(FetchRequest{7, kDocumentProtocol, ""})));
   cr_expect_not(holder.Answer(Pack(FetchRequest{0, 0, ""})));
 }
+
+// Guards against lists of a restored service that no peer takes, since their
+// revisions are lower, and against old ones that win for the same reason.
+Test(document_store, version_of_a_later_era_is_newer_whatever_its_revision) {
+  const HeldVersion old_era{90, "f", 1};
+  const HeldVersion new_era{7, "a", 2};
+  cr_expect(new_era > old_era);
+  cr_expect(old_era > HeldVersion({91, "f"}), "no era goes before none");
+  cr_expect(HeldVersion({8, "a", 2}) > new_era);
+  cr_expect(HeldVersion({7, "b", 2}) > new_era);
+  cr_expect(HeldVersion({7, "a", 2}) == new_era);
+}
+
+// Guards against a fleet that falls apart while nodes with and without eras run
+// side by side: each must understand the versions of the other.
+Test(document_store, versions_without_an_era_are_understood) {
+  const auto read = Unpack<HeldVersion>(Pack(EarlierVersion{7, "a"}));
+  cr_assert(read.has_value());
+  cr_expect(*read == HeldVersion({7, "a", 0}));
+  const auto read_there = Unpack<EarlierVersion>(Pack(HeldVersion{7, "a", 2}));
+  cr_assert(read_there.has_value());
+  cr_expect_eq(read_there->revision, 7U);
+  cr_expect_eq(read_there->digest, "a");
+}
+
+// Guards against an era that is lost or refused in the VM list service's
+// document.
+Test(document_store, era_of_a_vm_list_is_written_and_read) {
+  VmList list;
+  list.revision = 7;
+  cr_expect_eq(WriteVmList(list).find("era"), std::string::npos);
+  list.era = 2;
+  const auto read = ParseVmList(WriteVmList(list));
+  cr_assert(static_cast<bool>(read));
+  cr_expect_eq(read.value().era, 2U);
+  cr_expect_eq(read.value().revision, 7U);
+  cr_expect_not(ParseVmList(R"({"revision": 7, "vms": [], "era": -1})"));
+}
--- a/src/libyuccamast/source/published.cpp
+++ b/src/libyuccamast/source/published.cpp
@@ -146,6 +146,7 @@
   std::vector<FieldError> errors;
   ObjectReader reader(json.value(), "", &errors);
   VmList list;
+  list.era = static_cast<std::uint64_t>(reader.Int("era", kRevisionRange, 0));
   list.revision =
       static_cast<std::uint64_t>(reader.Int("revision", kRevisionRange, 0));
   const JsonValue* vms = reader.Get("vms");
@@ -210,6 +211,9 @@
   });
   JsonValue::Object document{{"revision", list.revision},
                              {"vms", std::move(vms)}};
+  if (list.era > 0) {
+    document.push_back({"era", list.era});
+  }
   if (!list.evacuated.empty()) {
     document.push_back({"evacuated", JsonValue::Array(list.evacuated.begin(),
                                                       list.evacuated.end())});
--- a/src/libyuccamast/source/published.h
+++ b/src/libyuccamast/source/published.h
@@ -32,6 +32,10 @@
 /// until the name is removed. A name without any VM has no effect until one is
 /// listed there.
 ///
+/// The optional member `"era": 2` of the VM list says how often the service was
+/// restored from a backup. Revisions are comparable within an era only; a list
+/// of a later era is newer whatever its revision.
+///
 /// A document with any malformed entry is refused as a whole.
 
 namespace yuccamast {
@@ -84,6 +88,7 @@
   std::vector<VmRecord> vms;  ///< Sorted by id, ids unique.
   /// Names of the emptied data centres, sorted and unique.
   std::vector<std::string> evacuated;
+  std::uint64_t era = 0;  ///< 0: the service names none.
 };
 
 /// Whether the operator has emptied this data centre. Thread-safe.
@@ -100,7 +105,8 @@
 Result<PublishedConfig, PublishedError> ParsePublishedConfig(
     std::string_view text);
 
-/// Parses the document of the VM list service; `revision` is 0 if absent. Fails
+/// Parses the document of the VM list service; `era` and `revision` are 0 if
+/// absent. Fails
 /// if a VM id is listed twice, an `ip` is not an IP address, or `evacuated` is
 /// not an array of names. Thread-safe.
 Result<VmList, PublishedError> ParseVmList(std::string_view text);
--- a/src/libyuccamast/source/vm_list_retention.cpp
+++ b/src/libyuccamast/source/vm_list_retention.cpp
@@ -37,9 +37,17 @@
   }
 }
 
+void VmListRetention::OnSourceRestored(std::shared_ptr<const VmList> in_use,
+                                       TimePoint now) {
+  OnSourceLost(std::move(in_use));
+  m_regained_at = now;
+  m_restored = true;
+}
+
 void VmListRetention::Clear() {
   m_retained.reset();
   m_regained_at.reset();
+  m_restored = false;
 }
 
 bool VmListRetention::EndIfExpired(TimePoint now) {
@@ -73,6 +81,12 @@
       AddRetainedUpstreams(*found, retained);
     }
   });
+  if (m_restored) {
+    std::vector<std::string> evacuated;
+    std::ranges::set_union(list->evacuated, m_retained->evacuated,
+                           std::back_inserter(evacuated));
+    list->evacuated = std::move(evacuated);
+  }
   return list;
 }
 
--- a/src/libyuccamast/source/vm_list_retention.h
+++ b/src/libyuccamast/source/vm_list_retention.h
@@ -23,8 +23,13 @@
 /// service returns, and keeps the list from before the first outage. When the
 /// grace period ends, entries that are still missing are dropped.
 ///
-/// The emptied data centres are always those of the new list: the operator's
-/// request does not expire, so one that is missing was taken back.
+/// A restore of the service from a copy (`OnSourceRestored`) begins a grace
+/// period, too: what was registered after the copy was made is missing until it
+/// is registered again. The same holds for the operator's requests to empty a
+/// data centre, so that the retained ones are kept in this case.
+///
+/// Otherwise the emptied data centres are always those of the new list: the
+/// operator's request does not expire, so one that is missing was taken back.
 ///
 /// Input: lists as the service returned them. Output: lists to use and to pass
 /// on to peers. Applying copies the new list; it then takes logarithmic time
@@ -49,6 +54,10 @@
   /// inactive or in the grace period.
   void OnSourceRegained(TimePoint now);
 
+  /// The service answers, from an older state than `in_use`, the list in use,
+  /// which is not null: starts the grace period anew.
+  void OnSourceRestored(std::shared_ptr<const VmList> in_use, TimePoint now);
+
   /// Becomes inactive. For a node that no longer reads the service: its lists
   /// come from peers, with the entries that these retain.
   void Clear();
@@ -79,6 +88,7 @@
   const Duration m_grace_period;
   std::shared_ptr<const VmList> m_retained;
   std::optional<TimePoint> m_regained_at;
+  bool m_restored = false;  ///< The grace period is one after a restore.
 };
 
 }  // namespace yuccamast
--- a/src/libyuccamast/source/vm_list_retention_test.cpp
+++ b/src/libyuccamast/source/vm_list_retention_test.cpp
@@ -101,3 +101,23 @@
   cr_expect_eq(list.vms.size(), 1U);
   cr_expect_eq(list.evacuated, fresh->evacuated);
 }
+
+// What was registered, or asked for, after the copy was made is missing from a
+// restored list until it is written again.
+Test(vm_list_retention, entries_missing_from_a_restored_copy_are_kept) {
+  VmListRetention retention(kGracePeriod);
+  auto before = std::make_shared<VmList>(
+      *ListOf({{"10.0.0.1", "i-1"}, {"10.0.0.2", "i-2"}}));
+  before->evacuated = {"dc1"};
+  retention.OnSourceRestored(before, kStart);
+  auto fresh = std::make_shared<VmList>(*ListOf({{"10.0.0.2", "i-2"}}));
+  fresh->era = 2;
+  fresh->evacuated = {"dc2"};
+  const VmList list = retention.ApplyVersioned(fresh);
+  cr_expect_eq(list.vms.size(), 2U);
+  cr_expect_eq(list.evacuated, (std::vector<std::string>{"dc1", "dc2"}));
+  cr_expect_eq(list.era, 2U);
+  cr_expect_not(retention.EndIfExpired(kStart + milliseconds(1900)));
+  cr_expect(retention.EndIfExpired(kStart + kGracePeriod));
+  cr_expect_eq(retention.Apply(fresh), fresh);
+}
--- a/testsuite/users_store_test.cpp
+++ b/testsuite/users_store_test.cpp
@@ -87,19 +87,24 @@
          "status": {"state": "ready", "seq": 1}})";
 }
 
-const std::string kConfig = R"({"version": 7,
-  "routes": [{"name": "r-1", "host": "t", "prefix": "/a/",
-              "route_type": "safe", "timeout": "2s", "service": "ledger"}],
+/// The operator's configuration of that version: one route, with `prefix`.
+std::string Config(int version, const std::string& prefix = "/a/") {
+  return R"({"version": )" + std::to_string(version) +
+         R"(, "routes": [{"name": "r-1", "host": "t", "prefix": ")" + prefix +
+         R"(", "route_type": "safe", "timeout": "2s", "service": "ledger"}],
   "services": [{"name": "ledger", "health_path": "/h"},
                {"name": "rounds", "health_path": "/h"}]})";
+}
+
+const std::string kConfig = Config(7);
 
-ReceivedReply CallToNode(LocalFleet& fleet) {
-  return SendRequest(fleet.vm(0).caller_port, "GET", "/a/x", "",
+ReceivedReply CallToNode(LocalFleet& fleet, const std::string& path = "/a/x") {
+  return SendRequest(fleet.vm(0).caller_port, "GET", path, "",
                      "Request-Id: id-1\r\n");
 }
 
-unsigned CallStatus(LocalFleet& fleet) {
-  return CallToNode(fleet).status;
+unsigned CallStatus(LocalFleet& fleet, const std::string& path = "/a/x") {
+  return CallToNode(fleet, path).status;
 }
 
 /// A fleet of the node beside `upstream`, at the IP address `ip`.
@@ -208,3 +213,67 @@
   cr_expect(LocalFleet::WaitFor(gets_calls, kBound));
   io.stop();
 }
+
+// Guards against a version of the configuration that is never in force, since
+// the store was silent, came back from a copy and gave out the revision again
+// up to which the node had read.
+Test(users_store, version_written_after_a_restore_is_in_force) {
+  boost::asio::io_context io;
+  const UpstreamStandIn upstream(io);
+  StoreStandIn store(io, {{"op/config", {kConfig}},
+                          {"servers/i-1", {Registration(upstream.address())}}});
+  std::jthread thread([&io] { io.run(); });
+  LocalFleet fleet(NodeSpec(store, upstream, "127.0.0.1", "dc1"));
+  cr_assert(fleet.WaitUntilReady());
+  StoreStandIn::Copy copy;
+  boost::asio::post(io, [&] {
+    copy = store.TakeCopy();
+    store.Put("op/config", Config(8));
+    store.Put("op/config", Config(9));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  boost::asio::post(io, [&] { store.GoAway(); });
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  boost::asio::post(io, [&] {
+    store.ComeBack(copy);
+    store.Put("op/config", Config(9));
+    store.Put("op/config", Config(12, "/b/"));
+  });
+  cr_expect(
+      LocalFleet::WaitFor([&] { return CallStatus(fleet, "/b/x") == 200; },
+                          std::chrono::seconds(10)));
+  cr_expect_eq(CallStatus(fleet, "/a/x"), 404U);
+  io.stop();
+}
+
+// Guards against an upstream that stays in use after its removal, since the
+// lists of a restored store have lower revisions than the one in use.
+Test(users_store, upstream_removed_after_a_restore_gets_no_calls) {
+  boost::asio::io_context io;
+  const UpstreamStandIn upstream(io);
+  StoreStandIn store(io, {{"op/config", {kConfig}},
+                          {"servers/i-1", {Registration(upstream.address())}}});
+  std::jthread thread([&io] { io.run(); });
+  LocalFleet fleet(NodeSpec(store, upstream, "127.0.0.1", "dc1"));
+  cr_assert(fleet.WaitUntilReady());
+  StoreStandIn::Copy copy;
+  boost::asio::post(io, [&] {
+    copy = store.TakeCopy();
+    for (int i = 0; i < 10; ++i) {
+      store.Put("servers/i-2", Registration("127.0.0.2:1", "rounds"));
+    }
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  boost::asio::post(io, [&] { store.GoAway(); });
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  boost::asio::post(io, [&] { store.ComeBack(copy); });
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  cr_expect_eq(CallStatus(fleet), 200U, "the restored entry is in use");
+  boost::asio::post(io, [&] { store.Delete("servers/i-1"); });
+  cr_expect(LocalFleet::WaitFor([&] { return CallStatus(fleet) == 503; },
+                                std::chrono::seconds(10)));
+  const int before = upstream.calls();
+  CallStatus(fleet);
+  cr_expect_eq(upstream.calls(), before);
+  io.stop();
+}
