--- a/testsuite/users_store_test.cpp
+++ b/testsuite/users_store_test.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <functional>
 #include <thread>
 
 #include "platform/store_stand_in.h"
@@ -125,6 +126,55 @@
   return spec;
 }
 
+/// A change of the store.
+using StoreChange = std::function<void(StoreStandIn&)>;
+
+/// A node beside the upstream `i-1`, and a store that can be restored.
+class RestoredStore {
+ public:
+  RestoredStore()
+      : m_upstream(m_io),
+        m_store(m_io,
+                {{"op/config", {kConfig}},
+                 {"servers/i-1", {Registration(m_upstream.address())}}}),
+        m_thread([this] { m_io.run(); }),
+        m_fleet(NodeSpec(m_store, m_upstream, "127.0.0.1", "dc1")) {}
+  ~RestoredStore() { m_io.stop(); }
+
+  LocalFleet& fleet() { return m_fleet; }
+  /// Number of calls that the upstream received.
+  int calls() const { return m_upstream.calls(); }
+
+  void Change(const StoreChange& change) {
+    boost::asio::post(m_io, [this, change] { change(m_store); });
+  }
+
+  /// Makes the changes `lost`, which the node reads, then lets the store be
+  /// silent for a second and come back from a copy without them. The changes
+  /// `after` are made before the node reads again.
+  void Restore(const StoreChange& lost, const StoreChange& after) {
+    Change([this, lost](StoreStandIn& store) {
+      m_copy = store.TakeCopy();
+      lost(store);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    Change([](StoreStandIn& store) { store.GoAway(); });
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    Change([this, after](StoreStandIn& store) {
+      store.ComeBack(m_copy);
+      after(store);
+    });
+  }
+
+ private:
+  boost::asio::io_context m_io;
+  const UpstreamStandIn m_upstream;
+  StoreStandIn m_store;
+  StoreStandIn::Copy m_copy;
+  std::jthread m_thread;
+  LocalFleet m_fleet;
+};
+
 }  // namespace
 
 // Guards against a service that stops when all nodes are restarted while
@@ -218,62 +268,42 @@
 // the store was silent, came back from a copy and gave out the revision again
 // up to which the node had read.
 Test(users_store, version_written_after_a_restore_is_in_force) {
-  boost::asio::io_context io;
-  const UpstreamStandIn upstream(io);
-  StoreStandIn store(io, {{"op/config", {kConfig}},
-                          {"servers/i-1", {Registration(upstream.address())}}});
-  std::jthread thread([&io] { io.run(); });
-  LocalFleet fleet(NodeSpec(store, upstream, "127.0.0.1", "dc1"));
-  cr_assert(fleet.WaitUntilReady());
-  StoreStandIn::Copy copy;
-  boost::asio::post(io, [&] {
-    copy = store.TakeCopy();
-    store.Put("op/config", Config(8));
-    store.Put("op/config", Config(9));
-  });
-  std::this_thread::sleep_for(std::chrono::milliseconds(500));
-  boost::asio::post(io, [&] { store.GoAway(); });
-  std::this_thread::sleep_for(std::chrono::seconds(1));
-  boost::asio::post(io, [&] {
-    store.ComeBack(copy);
-    store.Put("op/config", Config(9));
-    store.Put("op/config", Config(12, "/b/"));
-  });
-  cr_expect(
-      LocalFleet::WaitFor([&] { return CallStatus(fleet, "/b/x") == 200; },
-                          std::chrono::seconds(10)));
-  cr_expect_eq(CallStatus(fleet, "/a/x"), 404U);
-  io.stop();
+  RestoredStore drill;
+  cr_assert(drill.fleet().WaitUntilReady());
+  drill.Restore(
+      [](StoreStandIn& store) {
+        store.Put("op/config", Config(8));
+        store.Put("op/config", Config(9));
+      },
+      [](StoreStandIn& store) {
+        store.Put("op/config", Config(9));
+        store.Put("op/config", Config(12, "/b/"));
+      });
+  cr_expect(LocalFleet::WaitFor(
+      [&] { return CallStatus(drill.fleet(), "/b/x") == 200; },
+      std::chrono::seconds(10)));
+  cr_expect_eq(CallStatus(drill.fleet(), "/a/x"), 404U);
 }
 
 // Guards against an upstream that stays in use after its removal, since the
 // lists of a restored store have lower revisions than the one in use.
 Test(users_store, upstream_removed_after_a_restore_gets_no_calls) {
-  boost::asio::io_context io;
-  const UpstreamStandIn upstream(io);
-  StoreStandIn store(io, {{"op/config", {kConfig}},
-                          {"servers/i-1", {Registration(upstream.address())}}});
-  std::jthread thread([&io] { io.run(); });
-  LocalFleet fleet(NodeSpec(store, upstream, "127.0.0.1", "dc1"));
-  cr_assert(fleet.WaitUntilReady());
-  StoreStandIn::Copy copy;
-  boost::asio::post(io, [&] {
-    copy = store.TakeCopy();
-    for (int i = 0; i < 10; ++i) {
-      store.Put("servers/i-2", Registration("127.0.0.2:1", "rounds"));
-    }
-  });
-  std::this_thread::sleep_for(std::chrono::milliseconds(500));
-  boost::asio::post(io, [&] { store.GoAway(); });
-  std::this_thread::sleep_for(std::chrono::seconds(1));
-  boost::asio::post(io, [&] { store.ComeBack(copy); });
+  RestoredStore drill;
+  cr_assert(drill.fleet().WaitUntilReady());
+  drill.Restore(
+      [](StoreStandIn& store) {
+        for (int i = 0; i < 10; ++i) {
+          store.Put("servers/i-2", Registration("127.0.0.2:1", "rounds"));
+        }
+      },
+      [](StoreStandIn&) {});
   std::this_thread::sleep_for(std::chrono::seconds(3));
-  cr_expect_eq(CallStatus(fleet), 200U, "the restored entry is in use");
-  boost::asio::post(io, [&] { store.Delete("servers/i-1"); });
-  cr_expect(LocalFleet::WaitFor([&] { return CallStatus(fleet) == 503; },
-                                std::chrono::seconds(10)));
-  const int before = upstream.calls();
-  CallStatus(fleet);
-  cr_expect_eq(upstream.calls(), before);
-  io.stop();
+  cr_expect_eq(CallStatus(drill.fleet()), 200U, "the restored entry is in use");
+  drill.Change([](StoreStandIn& store) { store.Delete("servers/i-1"); });
+  cr_expect(
+      LocalFleet::WaitFor([&] { return CallStatus(drill.fleet()) == 503; },
+                          std::chrono::seconds(10)));
+  const int before = drill.calls();
+  CallStatus(drill.fleet());
+  cr_expect_eq(drill.calls(), before);
 }
